--- /dev/null
+++ b/balance/types.go
@@ -0,0 +1,131 @@
+package balance
+
+// Need says how recent the data behind a tariff's answers must be.
+type Need uint8
+
+// The needs, in the order of the design's page.
+const (
+	Any     Need = iota // every member will do
+	Bounded             // no older than the tariff's Bound when the trip is sent
+	Session             // all that the job's session has written
+	Fresh               // all that was written before the job came in
+	Write               // only the primary takes it
+)
+
+// Repeat says what a second run of a job would do.
+type Repeat uint8
+
+// The kinds of tariffs.
+const (
+	Reissuable Repeat = iota // may run again
+	Numbered                 // carries a mark by which its group discards repeats for a time
+	AtMostOnce               // must never run twice
+)
+
+// Circle is the set of nodes that discards the repeats of a numbered job.
+type Circle uint8
+
+// The circles.
+const (
+	OfGroup Circle = iota
+	OfZone
+	OfAll
+)
+
+// Tariff is what the contract says of one kind of job. Times are in nanoseconds.
+type Tariff struct {
+	Need         Need
+	Repeat       Repeat
+	Circle       Circle
+	Bound        int64 // Bounded only
+	ContractTime int64
+	HardLimit    int64
+	Window       int64 // Numbered only: how long repeats are discarded, from the first trip that may have run
+	Earnings     float64
+	LateShare    float64 // of the earnings, for an answer between contract time and hard limit
+}
+
+// Contract is what a router is told at its start.
+type Contract struct {
+	Tariffs         []Tariff
+	Me, Routers     int
+	Tick            int64
+	MaxTrips        int // for one job
+	SecondTrips     bool
+	Probes          bool
+	NodesCheck      bool // nodes turn away reads for which they are too far behind
+	ListOnAsking    bool
+	AskEvery        int64
+	ConnectTimeout  int64
+	DrainGrace      int64
+	StartShare      float64 // of a node's capacity at its start
+	ColdFor         int64
+	FallMultiple    float64
+	FallSpan        int64
+	LongestAbsence  int64 // that a bounced client can be asked for; 0: none
+	SessionsCarried bool  // session reads say how long ago their session wrote
+}
+
+// Standing is what the list says of a node.
+type Standing uint8
+
+// The standings.
+const (
+	In Standing = iota
+	Draining
+	Gone
+)
+
+// Ending is how a trip ended.
+type Ending uint8
+
+// The endings. Those up to Moot prove that the trip never ran.
+const (
+	Done Ending = iota
+	Miss
+	Full
+	Unreachable
+	Moot
+	Failed
+	TimedOut
+	Broken
+	Revoked
+)
+
+// Role is what a node's answer says of its part in its group.
+type Role uint8
+
+// The roles.
+const (
+	Unknown Role = iota
+	Primary
+	Replica
+)
+
+// Report is what a node says of its own load and place, as far as its site has such figures.
+type Report struct {
+	Given    bool
+	Position int64 // 0: not given
+	Role     Role
+	Queue    float64 // jobs waiting; below 0: not given
+}
+
+// Note is what an answer says of the node that gave it.
+type Note struct {
+	Role     Role
+	Position int64 // 0: not given; a write's is that of its commit
+}
+
+// Place is where a job in hand is kept, from Seat until Outside.Vacate.
+type Place int32
+
+// Outside carries a router's answers. Nodes are the caller's small indices.
+type Outside interface {
+	Submit(p Place, node int, until int64)
+	Bounce(p Place, stayAway int64)
+	Terminate(p Place)
+	Alarm(after int64)
+	Probe(node int)
+	Watch()
+	Vacate(p Place) // the job is over and none of its trips is out
+}
