--- /dev/null
+++ b/balance/balance.go
@@ -0,0 +1,786 @@
+// Package balance decides where each job goes, when it goes again and how it ends. To call it: Open a router, tell
+// it the list (Listing, Member, Listed, ListFailed), its jobs (Seat, Take, Left), the endings of their trips (Ended)
+// and of probes (Probed), and its alarm (Wake). It answers by calls on Outside, which stands in types.go.
+//
+// The ordinary path is docs/design.md's. Beside the design stand six mechanisms:
+//  1. room: how many trips a node can hold so that about one in ten ends after its contract time.
+//  2. silence: a node from which answers that were due fail to come, or that fails, is set aside for a while.
+//  3. second trips: a job waiting only on nodes set aside goes to another, as far as its tariff allows.
+//  4. cold budget: a young node gets a share of what warm nodes bear.
+//  5. presumption: where nodes check reads themselves, a replica is presumed to hold the lag it last showed.
+//  6. laggards first: reads that any member may answer go to replicas too far behind to serve others.
+package balance
+
+import "math"
+
+const (
+	overdue   = 8    // answers that must have been due for a silent node to be set aside
+	onTrial   = 3    // the same for a node that has come back from being set aside and not answered yet
+	roomUp    = 1.01 // for a trip in time; with roomDown, room settles where about one trip in ten is late
+	roomDown  = 0.92
+	leastRoom = 2.0
+	distrust  = 3        // failures in a row after which a node has to prove itself by one trip at a time
+	slow      = 1.0 / 32 // weight of a new figure in a running mean
+	sweeps    = 16       // in the shortest contract time
+	holdShare = 0.2      // of a job's time for which it may be held
+)
+
+// A step says what to do next with a job once a trip of it has ended.
+type step func(r *Router, j *job, e Ending, now int64)
+
+type trip struct {
+	node     int32
+	ending   Ending
+	out      bool
+	among    float64 // trips at the node when this one left
+	sent     int64
+	then     step
+	expected float64 // answers due of it in a nanosecond
+}
+
+type job struct {
+	place                           Place
+	live, over, held, fallback      bool
+	tariff, group                   int32
+	out                             int32
+	session                         uint64
+	need                            int64 // position that a session read must see
+	arrived, wanted, limit, holdEnd int64
+	trips                           []trip
+}
+
+type node struct {
+	group, zone     int32
+	standing        Standing
+	told            int64 // when the list said that it leaves
+	weight          float64
+	launched        int64 // 0: long ago
+	position        int64 // a lower bound
+	heardPosition   int64 // when position was last told
+	lag             int64 // that it then showed
+	missed          int64 // when it last turned a read away
+	role            Role
+	roleAt          int64 // when the evidence for role was true
+	listed          bool  // as primary
+	held            float64
+	ghosts          float64 // work that may go on at the node after its trips ended here
+	expected        float64 // answers due in a nanosecond
+	heard           int64   // last answer, or when the oldest of its present trips left
+	room            float64
+	failures        int32
+	aside           int64 // until when
+	unreached       bool
+	probing         bool
+	probed          int64
+	sentWork        float64 // decays over the span of the cold rule
+	sentAt          int64
+	queue           float64
+	inWhole         bool
+	presumedUseless bool
+}
+
+type tariff struct {
+	Tariff
+	usual float64 // mean time of a trip
+	share float64 // of a node's room that it may fill
+}
+
+type group struct {
+	members []int32
+	jobs    []Place // held, scratch of one sweep
+	probed  int64
+}
+
+// Router is one router's decisions.
+type Router struct {
+	out      Outside
+	chance   chance
+	tariffs  []tariff
+	nodes    []node
+	groups   []group
+	jobs     []job
+	free     []Place
+	maxTrips int
+	second   bool
+	probes   bool
+	check    bool
+	asking   bool
+	carried  bool
+	whole    bool // the list being told is whole
+
+	sweep, refresh, useful, asideFor, grace, coldFor, span, longestAway int64
+	startShare, borne, perSpan                                          float64
+
+	watchAt, backoff, leastBackoff, mostBackoff int64
+
+	young, old map[uint64]int64 // positions of sessions' last writes
+	floor      int64            // for the sessions forgotten
+}
+
+// chance is a multiply-with-carry generator.
+type chance uint64
+
+func (c *chance) below(n int64) int64 {
+	*c = chance(uint64(uint32(*c))*4294957665 + uint64(*c)>>32)
+	return int64(uint64(uint32(*c)) * uint64(max(n, 1)) >> 32)
+}
+
+const sessionsKept = 1 << 16
+
+// Open starts a router.
+func Open(c *Contract, seed uint64, out Outside, now int64) *Router {
+	r := &Router{out: out, chance: chance(seed&0x7fffffffffff | 1<<32 | 1), maxTrips: c.MaxTrips,
+		second: c.SecondTrips, probes: c.Probes, check: c.NodesCheck, asking: c.ListOnAsking,
+		carried: c.SessionsCarried, grace: c.DrainGrace, coldFor: c.ColdFor, span: c.FallSpan,
+		startShare: c.StartShare, perSpan: min(1, c.FallMultiple/2), longestAway: c.LongestAbsence,
+		asideFor: 4 * c.ConnectTimeout, leastBackoff: c.AskEvery / 20, mostBackoff: c.AskEvery / 2,
+		young: map[uint64]int64{}, old: map[uint64]int64{}}
+	shortest, best, bound := int64(math.MaxInt64), 0.0, int64(math.MaxInt64)
+	for _, t := range c.Tariffs {
+		shortest = min(shortest, t.ContractTime)
+		if t.Need >= Fresh {
+			best = max(best, t.Earnings)
+		}
+		if t.Need == Bounded {
+			bound = min(bound, t.Bound)
+		}
+	}
+	for _, t := range c.Tariffs {
+		share := 1.0
+		if t.Need >= Fresh {
+			share = 0.5 + 0.75*t.Earnings/best
+		}
+		r.tariffs = append(r.tariffs, tariff{t, float64(t.ContractTime) / 4, share})
+	}
+	r.sweep = max(c.Tick, shortest/sweeps)
+	r.useful = bound
+	if bound == math.MaxInt64 {
+		r.useful = 2 * shortest
+	}
+	r.refresh = r.useful * 4 / 5
+	r.backoff = r.leastBackoff
+	r.watchAt = now + r.chance.below(r.leastBackoff)
+	for range 4 {
+		r.chance.below(1)
+	}
+	out.Alarm(r.sweep)
+	return r
+}
+
+// Listing begins a word from the list; Member and Listed follow.
+func (r *Router) Listing(whole bool) {
+	r.whole = whole
+	for i := range r.nodes {
+		r.nodes[i].inWhole = false
+	}
+}
+
+// Member tells of one node. Nodes and groups are numbered from 0 in the order of their first naming.
+func (r *Router) Member(now int64, n, g, zone int, s Standing, weight float64, launched int64, primary bool) {
+	for len(r.groups) <= g {
+		r.groups = append(r.groups, group{})
+	}
+	for len(r.nodes) <= n {
+		r.nodes = append(r.nodes, node{group: -1, room: 1 << 20, queue: -1})
+	}
+	m := &r.nodes[n]
+	if m.group != int32(g) {
+		if m.group >= 0 {
+			r.groups[m.group].drop(int32(n))
+		}
+		m.group = int32(g)
+		r.groups[g].members = append(r.groups[g].members, int32(n))
+	}
+	if s != In && m.standing == In {
+		m.told = now
+	}
+	if launched != 0 && launched > m.launched {
+		m.launched = launched
+	}
+	m.standing, m.zone, m.weight, m.listed, m.inWhole = s, int32(zone), max(weight, 1e-6), primary, true
+}
+
+func (g *group) drop(n int32) {
+	kept := g.members[:0]
+	for _, m := range g.members {
+		if m != n {
+			kept = append(kept, m)
+		}
+	}
+	g.members = kept
+}
+
+// Listed ends a word from the list. A node absent from a whole list has left.
+func (r *Router) Listed(now int64) {
+	for i := range r.nodes {
+		if m := &r.nodes[i]; r.whole && !m.inWhole && m.group >= 0 {
+			if m.standing == In {
+				m.told = now
+			}
+			m.standing = Gone
+		}
+	}
+	r.backoff = r.leastBackoff
+	r.probeUnknown(now)
+}
+
+// ListFailed tells that asking for the list failed, or that the watch broke. The next try comes later each time and
+// at a random moment, so that routers that start or fail together don't ask together.
+func (r *Router) ListFailed(now int64) {
+	r.watchAt = now + r.backoff/2 + r.chance.below(r.backoff)
+	r.backoff = min(2*r.backoff, r.mostBackoff)
+}
+
+func (r *Router) probeUnknown(now int64) {
+	for i := range r.nodes {
+		if m := &r.nodes[i]; m.standing == In && m.group >= 0 && m.probed == 0 {
+			r.probe(int32(i), now)
+		}
+	}
+}
+
+func (r *Router) probe(n int32, now int64) {
+	if m := &r.nodes[n]; r.probes && !m.probing {
+		m.probing, m.probed = true, now
+		r.out.Probe(int(n))
+	}
+}
+
+// Seat gives a new job its place.
+func (r *Router) Seat() Place {
+	if k := len(r.free); k > 0 {
+		p := r.free[k-1]
+		r.free = r.free[:k-1]
+		return p
+	}
+	r.jobs = append(r.jobs, job{trips: make([]trip, 0, r.maxTrips)})
+	return Place(len(r.jobs) - 1)
+}
+
+// Take accepts the job at p. Its client waits for the time given; wrote is how long ago its session wrote, 0 for
+// never, where sessions carry that.
+func (r *Router) Take(now int64, p Place, t, g int, session uint64, wait, wrote int64) {
+	j := &r.jobs[p]
+	for len(r.groups) <= g {
+		r.groups = append(r.groups, group{})
+	}
+	*j = job{place: p, live: true, tariff: int32(t), group: int32(g), session: session, arrived: now, limit: now + wait,
+		wanted: now + min(wait, r.tariffs[t].ContractTime), trips: j.trips[:0]}
+	j.holdEnd = now + int64(holdShare*float64(wait))
+	if r.tariffs[t].Need == Session {
+		if !r.carried {
+			j.need = r.lastWrite(session)
+		} else if wrote > 0 {
+			j.need = now - wrote
+		}
+	}
+	r.place(j, now)
+}
+
+// lastWrite is the position that the session must see; one forgotten needs what the latest forgotten one did.
+func (r *Router) lastWrite(session uint64) int64 {
+	if at, ok := r.young[session]; ok {
+		return at
+	}
+	if at, ok := r.old[session]; ok {
+		return at
+	}
+	return r.floor
+}
+
+func (r *Router) remember(session uint64, at int64) {
+	if len(r.young) >= sessionsKept {
+		for _, p := range r.old {
+			r.floor = max(r.floor, p)
+		}
+		r.old, r.young = r.young, r.old
+		clear(r.young)
+	}
+	r.young[session] = max(at, r.lastWrite(session))
+}
+
+// place sends a job on, holds it or ends it.
+func (r *Router) place(j *job, now int64) {
+	t := &r.tariffs[j.tariff]
+	if !r.mayRepeat(j, now) {
+		r.giveUp(j, now, 0)
+		return
+	}
+	if late := now + int64(t.usual/2); late > j.limit || t.LateShare == 0 && late > j.wanted {
+		r.giveUp(j, now, 0)
+		return
+	}
+	if t.Need < Fresh {
+		n, fresh := r.replica(j, now)
+		if n >= 0 {
+			r.send(j, n, now)
+			return
+		}
+		if fresh {
+			r.giveUp(j, now, 0)
+			return
+		}
+		j.fallback = true
+	}
+	r.toPrimary(j, now)
+}
+
+// replica is the design's choice among those known to be fresh enough. It also tells whether there was any.
+func (r *Router) replica(j *job, now int64) (best int32, fresh bool) {
+	t := &r.tariffs[j.tariff]
+	best = -1
+	top, ties := 0.0, int64(0)
+	primary := r.primary(j.group, now)
+	for _, n := range r.groups[j.group].members {
+		m := &r.nodes[n]
+		if n == primary || m.role == Primary && m.roleAt > now-r.asideFor || !r.usable(m, now) || j.tried(n) ||
+			!r.holds(m, j, now) {
+			continue
+		}
+		fresh = true
+		if m.held+m.ghosts >= m.room || !r.bears(m, t.usual, now) {
+			continue
+		}
+		score := m.weight * r.warmth(m, now) / (1 + m.held + m.ghosts)
+		// Laggards first: a replica behind the smallest bound serves none but these reads, so they leave the others
+		// free, and a long read that stops its node's apply stops it where it costs least. Guards against replicas
+		// all lagging in turn; it harms if the laggard is slow as well, hence only half its room.
+		if t.Need == Any && r.lags(m, now) && m.held+m.ghosts < m.room/2 && m.held < 4*sweeps {
+			score += 1e6
+		}
+		switch {
+		case score > top:
+			top, best, ties = score, n, 1
+		case score == top:
+			if ties++; r.chance.below(ties) == 0 {
+				best = n
+			}
+		}
+	}
+	return best, fresh
+}
+
+func (j *job) tried(n int32) bool {
+	for i := range j.trips {
+		if j.trips[i].node == n {
+			return true
+		}
+	}
+	return false
+}
+
+// lags tells whether a replica is too far behind for the reads that are checked.
+func (r *Router) lags(m *node, now int64) bool {
+	return m.heardPosition > 0 && m.lag > r.useful
+}
+
+// holds tells whether a replica is known, or where nodes check for themselves presumed, to have what the job must
+// see. Presumption covers reports as old as the bound itself; it costs a miss, so a miss ends it until news comes.
+func (r *Router) holds(m *node, j *job, now int64) bool {
+	need := j.need
+	switch t := &r.tariffs[j.tariff]; {
+	case t.Need == Bounded:
+		need = now - t.Bound
+	case t.Need == Any || need == 0:
+		return true
+	}
+	if m.position >= need {
+		return m.heardPosition > 0
+	}
+	return r.check && m.heardPosition > m.missed && now-m.heardPosition < 2*r.refresh && now-m.lag >= need
+}
+
+// usable tells whether a node may be sent anything new.
+func (r *Router) usable(m *node, now int64) bool {
+	return m.standing == In && now >= m.aside && (m.failures < distrust || m.held == 0)
+}
+
+// primary is the member whose latest evidence says so, else the one listed if nothing speaks against it, else -1.
+func (r *Router) primary(g int32, now int64) int32 {
+	best, at := int32(-1), int64(-1)
+	for _, n := range r.groups[g].members {
+		m := &r.nodes[n]
+		if m.standing != In && now > m.told+r.grace/2 {
+			continue
+		}
+		if m.role == Primary && m.roleAt > at {
+			best, at = n, m.roleAt
+		} else if m.role == Unknown && m.listed && at < 0 {
+			best, at = n, 0
+		}
+	}
+	return best
+}
+
+// toPrimary sends a job to the primary, or holds it while there is none.
+func (r *Router) toPrimary(j *job, now int64) {
+	t := &r.tariffs[j.tariff]
+	n := r.primary(j.group, now)
+	if n >= 0 {
+		m := &r.nodes[n]
+		share := t.share
+		if j.fallback {
+			share = 0.5
+		}
+		if now >= m.aside && (m.failures < distrust || m.held == 0) {
+			if m.held+m.ghosts < m.room*share && r.bears(m, t.usual, now) {
+				r.send(j, n, now)
+				return
+			}
+			if t.Need != Write {
+				r.giveUp(j, now, 0)
+				return
+			}
+		}
+	} else if t.Need == Write && len(j.trips) < r.maxTrips-2 {
+		if n = r.nextMember(j, now); n >= 0 {
+			r.send(j, n, now)
+			return
+		}
+	}
+	if now >= j.holdEnd {
+		r.giveUp(j, now, r.longestAway)
+		return
+	}
+	j.held = true
+}
+
+// nextMember is the member most likely to be primary that this job has not tried: one with no known role, else the
+// one with most of the log among those not lately known to be a replica.
+func (r *Router) nextMember(j *job, now int64) int32 {
+	best, top := int32(-1), int64(-1)
+	for _, n := range r.groups[j.group].members {
+		m := &r.nodes[n]
+		if !r.usable(m, now) || j.tried(n) || m.role == Replica && m.roleAt > now-r.sweep ||
+			!r.bears(m, r.tariffs[j.tariff].usual, now) {
+			continue
+		}
+		if m.position > top {
+			best, top = n, m.position
+		}
+	}
+	return best
+}
+
+func (r *Router) warmth(m *node, now int64) float64 {
+	if m.launched == 0 || now >= m.launched+r.coldFor {
+		return 1
+	}
+	return r.startShare + (1-r.startShare)*float64(max(now-m.launched, 0))/float64(r.coldFor)
+}
+
+// bears tells whether a young node may be sent so much more work: over the rule's span, its warmth's share of what
+// warm nodes bear on average, so that all routers together stay under what it can do. Its own report of waiting
+// jobs closes it. Guards the cold rule also for a primary that is young; it harms where traffic has just jumped.
+func (r *Router) bears(m *node, work float64, now int64) bool {
+	w := r.warmth(m, now)
+	if w >= 1 {
+		return true
+	}
+	r.decay(m, now)
+	return m.queue < 1 && m.sentWork+work <= w*r.perSpan*r.borne*m.weight
+}
+
+func (r *Router) decay(m *node, now int64) {
+	if now > m.sentAt {
+		m.sentWork *= math.Exp(-float64(now-m.sentAt) / float64(r.span))
+		m.sentAt = now
+	}
+}
+
+// mayRepeat tells whether another trip is allowed by the job's tariff, wherever it goes in its group.
+func (r *Router) mayRepeat(j *job, now int64) bool {
+	if j.over || len(j.trips) >= r.maxTrips || j.out > 0 && !r.second || now >= j.limit {
+		return false
+	}
+	t := &r.tariffs[j.tariff]
+	first := j.firstMayRun()
+	return first < 0 || t.Repeat == Reissuable || t.Repeat == Numbered && now <= first+t.Window
+}
+
+// firstMayRun is when the earliest trip left that may have run, or -1.
+func (j *job) firstMayRun() int64 {
+	for i := range j.trips {
+		if j.trips[i].out || j.trips[i].ending > Moot || j.trips[i].ending == Done {
+			return j.trips[i].sent
+		}
+	}
+	return -1
+}
+
+// circled tells whether the node is in the circle that discards repeats of the job.
+func (r *Router) circled(j *job, n int32) bool {
+	if t := &r.tariffs[j.tariff]; t.Repeat == Numbered && t.Circle == OfZone && j.firstMayRun() >= 0 {
+		for i := range j.trips {
+			if j.trips[i].ending != Miss && r.nodes[j.trips[i].node].zone != r.nodes[n].zone {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (r *Router) send(j *job, n int32, now int64) {
+	if !r.circled(j, n) {
+		r.giveUp(j, now, 0)
+		return
+	}
+	m, t := &r.nodes[n], &r.tariffs[j.tariff]
+	j.held = false
+	if m.held == 0 {
+		m.heard = now
+	}
+	e := 1 / t.usual
+	then := step((*Router).afterRead)
+	if t.Need == Write {
+		then = (*Router).afterWrite
+	}
+	j.trips = append(j.trips, trip{node: n, out: true, among: m.held + m.ghosts, sent: now, expected: e, then: then})
+	j.out++
+	m.held++
+	m.expected += e
+	r.decay(m, now)
+	m.sentWork += t.usual
+	r.out.Submit(j.place, int(n), j.limit)
+}
+
+// Ended takes in a trip's ending. If settled, the client has had its answer.
+func (r *Router) Ended(now int64, p Place, leg int, e Ending, settled bool, took int64, note Note, rep Report) {
+	j := &r.jobs[p]
+	if !j.live || leg < 0 || leg >= len(j.trips) || !j.trips[leg].out {
+		return
+	}
+	k := &j.trips[leg]
+	m, t := &r.nodes[k.node], &r.tariffs[j.tariff]
+	k.out, k.ending = false, e
+	j.out--
+	m.held--
+	m.expected -= k.expected
+	if m.held == 0 {
+		m.expected = 0
+	}
+	if e <= Full || e == Failed {
+		r.answered(m, now)
+	}
+	switch e {
+	case Done:
+		m.failures, m.aside = 0, 0
+		m.ghosts -= m.ghosts / (1 + m.held)
+		t.usual += slow * (float64(took) - t.usual)
+		if took > t.ContractTime {
+			m.late(k.among)
+		} else if k.among >= 0.7*m.room {
+			m.room *= roomUp
+		}
+		if t.Need == Write && !r.carried && note.Position > 0 {
+			r.remember(j.session, note.Position)
+		}
+	case Miss:
+		if t.Need != Write {
+			m.missed = now
+		}
+	case Full:
+		m.late(k.among)
+	case Unreachable, Broken:
+		m.unreached = true
+		r.setAside(m, now)
+	case Failed:
+		if m.failures++; m.failures >= distrust {
+			r.setAside(m, now)
+		}
+	case TimedOut, Revoked:
+		m.ghosts++
+		if e == TimedOut && m.aside < now {
+			m.late(k.among)
+		}
+	}
+	position := note.Position
+	if t.Need == Write {
+		position = 0 // a commit's is rounded up, so it is no lower bound
+	}
+	r.noted(m, now, note.Role, position, now)
+	r.reported(m, now, rep)
+	if settled {
+		j.over = true
+	}
+	if !j.over {
+		k.then(r, j, e, now)
+	}
+	r.vacate(p)
+}
+
+// late narrows a node's room, by trips that left while it was within it: the others say nothing of it.
+func (m *node) late(among float64) {
+	if among <= m.room {
+		m.room = max(leastRoom, min(m.room, among+1)*roomDown)
+	}
+}
+
+func (r *Router) vacate(p Place) {
+	if j := &r.jobs[p]; j.live && j.over && j.out == 0 {
+		j.live = false
+		r.free = append(r.free, p)
+		r.out.Vacate(p)
+	}
+}
+
+// answered takes in a sign of life. A node that was out of reach has started again, and so may be cold.
+func (r *Router) answered(m *node, now int64) {
+	m.heard = now
+	if m.unreached {
+		m.unreached = false
+		m.launched = now
+	}
+}
+
+// noted takes in evidence of a node's role and position, true at the time given.
+func (r *Router) noted(m *node, now int64, role Role, position, at int64) {
+	if role != Unknown && at >= m.roleAt {
+		m.role, m.roleAt = role, at
+	}
+	if position > 0 {
+		m.position = max(m.position, position)
+		m.heardPosition, m.lag = now, now-position
+	}
+}
+
+// reported takes in a report. A primary stands at the time of its report, a replica's is no older than its position.
+func (r *Router) reported(m *node, now int64, rep Report) {
+	if rep.Given {
+		r.noted(m, now, rep.Role, rep.Position, rep.Position)
+		m.queue = rep.Queue
+	}
+}
+
+// setAside keeps new trips from a node for a fixed time and a random part, so that routers don't return together.
+func (r *Router) setAside(m *node, now int64) {
+	m.failures += distrust
+	m.aside = now + r.asideFor + r.chance.below(r.asideFor)
+}
+
+// afterRead goes on with a read whose trip has ended without an answer.
+func (r *Router) afterRead(j *job, e Ending, now int64) {
+	if j.out > 0 && e != Miss && e != Full {
+		return
+	}
+	r.place(j, now)
+}
+
+// afterWrite goes on with a write: after a miss, with the next member.
+func (r *Router) afterWrite(j *job, e Ending, now int64) {
+	if j.out == 0 {
+		r.place(j, now)
+	}
+}
+
+// giveUp ends a job at once, unless a trip of it may still bring an answer: bounced where a retry is harmless,
+// terminated elsewhere.
+func (r *Router) giveUp(j *job, now, away int64) {
+	if j.over || j.out > 0 && now < j.limit {
+		j.held = false
+		return
+	}
+	j.over, j.held = true, false
+	t := &r.tariffs[j.tariff]
+	p := j.place
+	if t.Repeat == Reissuable || j.firstMayRun() < 0 || t.Repeat == Numbered && t.Circle == OfAll {
+		r.out.Bounce(p, away)
+	} else {
+		r.out.Terminate(p)
+	}
+	r.vacate(p)
+}
+
+// Left tells that the job's client has gone; nothing more is owed.
+func (r *Router) Left(p Place) {
+	if r.jobs[p].live {
+		r.jobs[p].over = true
+		r.vacate(p)
+	}
+}
+
+// Probed takes in a probe's result.
+func (r *Router) Probed(now int64, n int, ok bool, rep Report) {
+	m := &r.nodes[n]
+	m.probing = false
+	if !ok {
+		if m.failures++; m.failures >= distrust {
+			m.unreached = true
+			r.setAside(m, now)
+		}
+		return
+	}
+	r.reported(m, now, rep)
+	if m.unreached {
+		r.answered(m, now)
+	}
+}
+
+// Wake is the alarm: it looks after the nodes, then after the jobs that wait.
+func (r *Router) Wake(now int64) {
+	r.out.Alarm(r.sweep)
+	if r.asking && r.watchAt > 0 && now >= r.watchAt {
+		r.watchAt = 0
+		r.out.Watch()
+	}
+	sum, warm := 0.0, 0.0
+	for i := range r.nodes {
+		m := &r.nodes[i]
+		if m.group < 0 {
+			continue
+		}
+		r.decay(m, now)
+		m.ghosts *= 1 - slow
+		patience := float64(overdue)
+		if m.failures >= distrust {
+			patience = onTrial
+		}
+		if m.held > 0 && now >= m.aside && float64(now-m.heard)*m.expected > patience {
+			r.setAside(m, now)
+		}
+		if m.standing != In {
+			continue
+		}
+		if r.warmth(m, now) >= 1 {
+			sum, warm = sum+m.sentWork/m.weight, warm+1
+		}
+		if now-m.heardPosition >= r.refresh && now-m.probed >= r.refresh && now >= m.aside {
+			r.probe(int32(i), now)
+		}
+	}
+	if warm > 0 {
+		r.borne = sum / warm
+	}
+	for i := range r.groups {
+		g := &r.groups[i]
+		if p := r.primary(int32(i), now); (p < 0 || r.nodes[p].aside > now) && now-g.probed >= 4*r.sweep {
+			g.probed = now
+			for _, n := range g.members {
+				if r.nodes[n].standing == In {
+					r.probe(n, now)
+				}
+			}
+		}
+	}
+	for i := range r.jobs {
+		j := &r.jobs[i]
+		switch {
+		case !j.live || j.over:
+		case j.held:
+			j.held = false
+			r.place(j, now)
+		case j.out > 0 && r.stranded(j, now) && r.mayRepeat(j, now):
+			r.place(j, now)
+		}
+	}
+}
+
+// stranded tells whether all that the job waits for are nodes set aside.
+func (r *Router) stranded(j *job, now int64) bool {
+	for i := range j.trips {
+		if k := &j.trips[i]; k.out && r.nodes[k.node].aside <= now {
+			return false
+		}
+	}
+	return true
+}
