--- a/balance/balance.go
+++ b/balance/balance.go
@@ -3,7 +3,7 @@
 // and of probes (Probed), and its alarm (Wake). It answers by calls on Outside, which stands in types.go.
 //
 // The ordinary path is docs/design.md's. Beside the design stand six mechanisms:
-//  1. room: how many trips a node can hold so that about one in ten ends after its contract time.
+//  1. room: how many trips a node can hold so that they take half their contract time on average.
 //  2. silence: a node from which answers that were due fail to come, or that fails, is set aside for a while.
 //  3. second trips: a job waiting only on nodes set aside goes to another, as far as its tariff allows.
 //  4. cold budget: a young node gets a share of what warm nodes bear.
@@ -14,15 +14,17 @@
 import "math"
 
 const (
-	overdue   = 8    // answers that must have been due for a silent node to be set aside
-	onTrial   = 3    // the same for a node that has come back from being set aside and not answered yet
-	roomUp    = 1.01 // for a trip in time; with roomDown, room settles where about one trip in ten is late
-	roomDown  = 0.92
+	overdue   = 8   // answers that must have been due for a silent node to be set aside
+	onTrial   = 3   // the same for a node that has come back from being set aside and not answered yet
+	ease      = 0.5 // part of its contract time that a trip may take on average
+	roomUp    = 1.02
 	leastRoom = 2.0
+	mostRoom  = 64.0
 	distrust  = 3        // failures in a row after which a node has to prove itself by one trip at a time
 	slow      = 1.0 / 32 // weight of a new figure in a running mean
-	sweeps    = 16       // in the shortest contract time
-	holdShare = 0.2      // of a job's time for which it may be held
+	quick     = 1.0 / 8
+	sweeps    = 16  // in the shortest contract time
+	holdShare = 0.2 // of a job's time for which it may be held
 )
 
 // A step says what to do next with a job once a trip of it has ended.
@@ -32,6 +34,7 @@
 	node     int32
 	ending   Ending
 	out      bool
+	counted  bool    // as late, before its ending
 	among    float64 // trips at the node when this one left
 	sent     int64
 	then     step
@@ -67,6 +70,7 @@
 	expected        float64 // answers due in a nanosecond
 	heard           int64   // last answer, or when the oldest of its present trips left
 	room            float64
+	strain          float64 // mean time of a trip, as a part of its contract time
 	failures        int32
 	aside           int64 // until when
 	unreached       bool
@@ -181,7 +185,7 @@
 		r.groups = append(r.groups, group{})
 	}
 	for len(r.nodes) <= n {
-		r.nodes = append(r.nodes, node{group: -1, room: 1 << 20, queue: -1})
+		r.nodes = append(r.nodes, node{group: -1, room: mostRoom, queue: -1})
 	}
 	m := &r.nodes[n]
 	if m.group != int32(g) {
@@ -342,11 +346,12 @@
 			continue
 		}
 		score := m.weight * r.warmth(m, now) / (1 + m.held + m.ghosts)
-		// Laggards first: a replica behind the smallest bound serves none but these reads, so they leave the others
+		// Laggards first, and of them the one furthest behind: it serves none but these reads, so they leave the others
 		// free, and a long read that stops its node's apply stops it where it costs least. Guards against replicas
-		// all lagging in turn; it harms if the laggard is slow as well, hence only half its room.
-		if t.Need == Any && r.lags(m, now) && m.held+m.ghosts < m.room/2 && m.held < 4*sweeps {
-			score += 1e6
+		// lagging all in turn; it harms if the laggard is slow as well, hence only until its answers take half of
+		// their contract time.
+		if t.Need == Any && r.lags(m, now) && m.held+m.ghosts < m.room/2 && m.strain < ease {
+			score += float64(m.lag)
 		}
 		switch {
 		case score > top:
@@ -567,10 +572,8 @@
 		m.failures, m.aside = 0, 0
 		m.ghosts -= m.ghosts / (1 + m.held)
 		t.usual += slow * (float64(took) - t.usual)
-		if took > t.ContractTime {
-			m.late(k.among)
-		} else if k.among >= 0.7*m.room {
-			m.room *= roomUp
+		if !k.counted {
+			m.learn(k.among+1, float64(took)/float64(t.ContractTime))
 		}
 		if t.Need == Write && !r.carried && note.Position > 0 {
 			r.remember(j.session, note.Position)
@@ -580,7 +583,7 @@
 			m.missed = now
 		}
 	case Full:
-		m.late(k.among)
+		m.room = max(leastRoom, m.room+quick*(k.among-m.room))
 	case Unreachable, Broken:
 		m.unreached = true
 		r.setAside(m, now)
@@ -590,9 +593,6 @@
 		}
 	case TimedOut, Revoked:
 		m.ghosts++
-		if e == TimedOut && m.aside < now {
-			m.late(k.among)
-		}
 	}
 	position := note.Position
 	if t.Need == Write {
@@ -609,10 +609,16 @@
 	r.vacate(p)
 }
 
-// late narrows a node's room, by trips that left while it was within it: the others say nothing of it.
-func (m *node) late(among float64) {
-	if among <= m.room {
-		m.room = max(leastRoom, min(m.room, among+1)*roomDown)
+// learn takes in how long a trip took, as a part of its contract time, with so many trips at the node. Where time
+// goes up with their number, room follows it to the number at which a trip takes half its contract time.
+func (m *node) learn(among, part float64) {
+	m.strain += quick * (part - m.strain)
+	if m.strain > ease {
+		if fit := among * ease / m.strain; fit < m.room {
+			m.room = max(leastRoom, m.room+quick*(fit-m.room))
+		}
+	} else if among >= m.room/2 {
+		m.room = min(mostRoom, m.room*roomUp)
 	}
 }
 
@@ -764,6 +770,9 @@
 	}
 	for i := range r.jobs {
 		j := &r.jobs[i]
+		if j.live && j.out > 0 {
+			r.countLate(j, now)
+		}
 		switch {
 		case !j.live || j.over:
 		case j.held:
@@ -775,6 +784,17 @@
 	}
 }
 
+// countLate lets a node's strain rise as soon as a trip is late, not only once it ends.
+func (r *Router) countLate(j *job, now int64) {
+	t := &r.tariffs[j.tariff]
+	for i := range j.trips {
+		if k := &j.trips[i]; k.out && !k.counted && now-k.sent > t.ContractTime {
+			k.counted = true
+			r.nodes[k.node].learn(k.among+1, 1.5)
+		}
+	}
+}
+
 // stranded tells whether all that the job waits for are nodes set aside.
 func (r *Router) stranded(j *job, now int64) bool {
 	for i := range j.trips {
