Let room open one by one from small, and follow mean time

Cause: routers that start together each allowed 64 trips a node, so overload jammed the nodes before the first answers came.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -18,7 +18,8 @@
 	onTrial   = 3   // the same for a node that has come back from being set aside and not answered yet
 	ease      = 0.5 // part of its contract time that a trip may take on average
 	roomUp    = 1.02
-	leastRoom = 2.0
+	leastRoom = 1.0
+	firstRoom = 4.0 // grows by one with each answer until time first goes up
 	mostRoom  = 64.0
 	distrust  = 3        // failures in a row after which a node has to prove itself by one trip at a time
 	slow      = 1.0 / 32 // weight of a new figure in a running mean
@@ -70,6 +71,7 @@
 	expected        float64 // answers due in a nanosecond
 	heard           int64   // last answer, or when the oldest of its present trips left
 	room            float64
+	opening         bool    // its room has never been full
 	strain          float64 // mean time of a trip, as a part of its contract time
 	failures        int32
 	aside           int64 // until when
@@ -185,7 +187,7 @@
 		r.groups = append(r.groups, group{})
 	}
 	for len(r.nodes) <= n {
-		r.nodes = append(r.nodes, node{group: -1, room: mostRoom, queue: -1})
+		r.nodes = append(r.nodes, node{group: -1, room: firstRoom, opening: true, queue: -1})
 	}
 	m := &r.nodes[n]
 	if m.group != int32(g) {
@@ -614,9 +616,12 @@
 func (m *node) learn(among, part float64) {
 	m.strain += quick * (part - m.strain)
 	if m.strain > ease {
+		m.opening = false
 		if fit := among * ease / m.strain; fit < m.room {
 			m.room = max(leastRoom, m.room+quick*(fit-m.room))
 		}
+	} else if m.opening && among >= m.room/2 {
+		m.room = min(mostRoom, m.room+1)
 	} else if among >= m.room/2 {
 		m.room = min(mostRoom, m.room*roomUp)
 	}
