--- a/balance/balance.go
+++ b/balance/balance.go
@@ -5,7 +5,7 @@
 // The ordinary path is docs/design.md's. Beside the design stand six mechanisms:
 //  1. room: how many trips a node can hold so that they take half their contract time on average.
 //  2. silence: a node from which answers that were due fail to come, or that fails, is set aside for a while.
-//  3. second trips: a job waiting only on nodes set aside goes to another, as far as its tariff allows.
+//  3. second trips: a job waiting only on nodes set aside or on overdue trips goes again where there is room to spare.
 //  4. cold budget: a young node gets a share of what warm nodes bear.
 //  5. presumption: where nodes check reads themselves, a replica is presumed to hold the lag it last showed.
 //  6. laggards first: reads that any member may answer go to replicas too far behind to serve others.
@@ -35,7 +35,9 @@
 	node     int32
 	ending   Ending
 	out      bool
-	counted  bool    // as late, before its ending
+	late     bool    // past its contract time
+	lost     bool    // overtaken, and late: no longer counted at its node
+	answers  float64 // of the node when this one left
 	among    float64 // trips at the node when this one left
 	sent     int64
 	then     step
@@ -69,6 +71,7 @@
 	held            float64
 	ghosts          float64 // work that may go on at the node after its trips ended here
 	expected        float64 // answers due in a nanosecond
+	answers         float64 // so far
 	heard           int64   // last answer, or when the oldest of its present trips left
 	room            float64
 	opening         bool    // its room has never been full
@@ -344,7 +347,7 @@
 			continue
 		}
 		fresh = true
-		if m.held+m.ghosts >= m.room || !r.bears(m, t.usual, now) {
+		if m.held+m.ghosts >= m.roomFor(j) || !r.bears(m, t.usual, now) {
 			continue
 		}
 		score := m.weight * r.warmth(m, now) / (1 + m.held + m.ghosts)
@@ -367,6 +370,14 @@
 	return best, fresh
 }
 
+// roomFor is a node's room for a job; one that has a trip out already takes only what is to spare.
+func (m *node) roomFor(j *job) float64 {
+	if j.out > 0 {
+		return m.room / 2
+	}
+	return m.room
+}
+
 func (j *job) tried(n int32) bool {
 	for i := range j.trips {
 		if j.trips[i].node == n {
@@ -430,7 +441,7 @@
 			share = 0.5
 		}
 		if now >= m.aside && (m.failures < distrust || m.held == 0) {
-			if m.held+m.ghosts < m.room*share && r.bears(m, t.usual, now) {
+			if m.held+m.ghosts < m.roomFor(j)*share && r.bears(m, t.usual, now) {
 				r.send(j, n, now)
 				return
 			}
@@ -542,7 +553,7 @@
 	if t.Need == Write {
 		then = (*Router).afterWrite
 	}
-	j.trips = append(j.trips, trip{node: n, out: true, among: m.held + m.ghosts, sent: now, expected: e, then: then})
+	j.trips = append(j.trips, trip{node: n, out: true, answers: m.answers, among: m.held + m.ghosts, sent: now, expected: e, then: then})
 	j.out++
 	m.held++
 	m.expected += e
@@ -561,10 +572,8 @@
 	m, t := &r.nodes[k.node], &r.tariffs[j.tariff]
 	k.out, k.ending = false, e
 	j.out--
-	m.held--
-	m.expected -= k.expected
-	if m.held == 0 {
-		m.expected = 0
+	if !k.lost {
+		m.release(k)
 	}
 	if e <= Full || e == Failed {
 		r.answered(m, now)
@@ -574,7 +583,8 @@
 		m.failures, m.aside = 0, 0
 		m.ghosts -= m.ghosts / (1 + m.held)
 		t.usual += slow * (float64(took) - t.usual)
-		if !k.counted {
+		m.answers++
+		if !k.late {
 			m.learn(k.among+1, float64(took)/float64(t.ContractTime))
 		}
 		if t.Need == Write && !r.carried && note.Position > 0 {
@@ -594,7 +604,9 @@
 			r.setAside(m, now)
 		}
 	case TimedOut, Revoked:
-		m.ghosts++
+		if !k.lost {
+			m.ghosts++
+		}
 	}
 	position := note.Position
 	if t.Need == Write {
@@ -776,34 +788,55 @@
 	for i := range r.jobs {
 		j := &r.jobs[i]
 		if j.live && j.out > 0 {
-			r.countLate(j, now)
+			r.lateTrips(j, now)
 		}
 		switch {
 		case !j.live || j.over:
 		case j.held:
 			j.held = false
 			r.place(j, now)
-		case j.out > 0 && r.stranded(j, now) && r.mayRepeat(j, now):
+		case j.out > 0 && now < j.wanted && r.waitsInVain(j, now) && r.mayRepeat(j, now):
 			r.place(j, now)
 		}
 	}
 }
 
-// countLate lets a node's strain rise as soon as a trip is late, not only once it ends.
-func (r *Router) countLate(j *job, now int64) {
+// lateTrips looks after trips past their contract time. Where the node has since answered many others, the trip or
+// its answer may be lost, which says nothing of crowding and holds no room; else the node's strain rises at once.
+func (r *Router) lateTrips(j *job, now int64) {
 	t := &r.tariffs[j.tariff]
 	for i := range j.trips {
-		if k := &j.trips[i]; k.out && !k.counted && now-k.sent > t.ContractTime {
-			k.counted = true
-			r.nodes[k.node].learn(k.among+1, 1.5)
+		k := &j.trips[i]
+		if !k.out || k.late || now-k.sent <= t.ContractTime {
+			continue
+		}
+		k.late = true
+		if m := &r.nodes[k.node]; m.passed(k) >= 3 {
+			k.lost = true
+			m.release(k)
+		} else {
+			m.learn(k.among+1, 1.5)
 		}
 	}
 }
 
-// stranded tells whether all that the job waits for are nodes set aside.
-func (r *Router) stranded(j *job, now int64) bool {
+// passed is how many times over the node has since answered as many trips as were there when this one left.
+func (m *node) passed(k *trip) float64 { return (m.answers - k.answers) / (k.among + 1) }
+
+func (m *node) release(k *trip) {
+	m.held--
+	m.expected -= k.expected
+	if m.held == 0 {
+		m.expected = 0
+	}
+}
+
+// waitsInVain tells whether all that the job waits for are trips to nodes set aside, or overdue ones.
+func (r *Router) waitsInVain(j *job, now int64) bool {
+	t := &r.tariffs[j.tariff]
+	overdue := max(int64(2*t.usual), t.ContractTime/2)
 	for i := range j.trips {
-		if k := &j.trips[i]; k.out && r.nodes[k.node].aside <= now {
+		if k := &j.trips[i]; k.out && r.nodes[k.node].aside <= now && (now-k.sent < overdue || r.nodes[k.node].passed(k) < 2) {
 			return false
 		}
 	}
