--- a/balance/balance.go
+++ b/balance/balance.go
@@ -810,11 +810,13 @@
 		if !k.out || k.late || now-k.sent <= t.ContractTime {
 			continue
 		}
-		k.late = true
-		if m := &r.nodes[k.node]; m.passed(k) >= 3 {
-			k.lost = true
+		m := &r.nodes[k.node]
+		switch p := m.passed(k); {
+		case p >= 3:
+			k.late, k.lost = true, true
 			m.release(k)
-		} else {
+		case p < 2:
+			k.late = true
 			m.learn(k.among+1, 1.5)
 		}
 	}
