--- a/balance/balance.go
+++ b/balance/balance.go
@@ -11,7 +11,11 @@
 //  6. laggards first: reads that any member may answer go to replicas too far behind to serve others.
 package balance
 
-import "math"
+import (
+	"cmp"
+	"math"
+	"slices"
+)
 
 const (
 	overdue   = 8   // answers that must have been due for a silent node to be set aside
@@ -32,98 +36,75 @@
 type step func(r *Router, j *job, e Ending, now int64)
 
 type trip struct {
-	node     int32
-	ending   Ending
-	out      bool
-	late     bool    // past its contract time
-	lost     bool    // overtaken, and late: no longer counted at its node
-	answers  float64 // of the node when this one left
-	among    float64 // trips at the node when this one left
-	sent     int64
-	then     step
-	expected float64 // answers due of it in a nanosecond
+	node            int32
+	ending          Ending
+	out, late, lost bool    // late: past its contract time; lost: no longer counted at its node
+	sent            int64   // when
+	answers, among  float64 // what its node had answered, and held, when it left
+	expected        float64 // its share of the answers due at its node
+	then            step
 }
 
 type job struct {
-	place                           Place
-	live, over, held, fallback      bool
-	tariff, group                   int32
-	out                             int32
-	session                         uint64
-	need                            int64 // position that a session read must see
-	arrived, wanted, limit, holdEnd int64
-	trips                           []trip
+	place                      Place
+	live, over, held, fallback bool // fallback: no replica is fresh enough
+	tariff, group, out         int32
+	session                    uint64
+	need                       int64 // position that a session read must see
+	wanted, limit, holdEnd     int64 // contract time and hard limit on the clock; until when it may be held
+	trips                      []trip
 }
 
 type node struct {
-	group, zone     int32
-	standing        Standing
-	told            int64 // when the list said that it leaves
-	weight          float64
-	launched        int64 // 0: long ago
-	position        int64 // a lower bound
-	heardPosition   int64 // when position was last told
-	lag             int64 // that it then showed
-	missed          int64 // when it last turned a read away
-	role            Role
-	roleAt          int64 // when the evidence for role was true
-	listed          bool  // as primary
-	held            float64
-	ghosts          float64 // work that may go on at the node after its trips ended here
-	expected        float64 // answers due in a nanosecond
-	answers         float64 // so far
-	heard           int64   // last answer, or when the oldest of its present trips left
-	room            float64
-	opening         bool    // its room has never been full
-	strain          float64 // mean time of a trip, as a part of its contract time
-	failures        int32
-	aside           int64 // until when
-	unreached       bool
-	probing         bool
-	probed          int64
-	sentWork        float64 // decays over the span of the cold rule
-	sentAt          int64
-	queue           float64
-	inWhole         bool
-	presumedUseless bool
+	group, zone                  int32
+	standing                     Standing
+	role                         Role
+	weight                       float64
+	listed, inWhole              bool    // as primary; in the whole list being told
+	told, launched               int64   // when it was said to leave; when it started, 0: long ago
+	position, heardPosition, lag int64   // a lower bound; when last told, and how far behind then
+	missed, roleAt               int64   // when it last turned a read away; when its role was true
+	heard                        int64   // when it last answered, or when the oldest of its trips left
+	aside, probed                int64   // until when; when last
+	unreached, probing, opening  bool    // opening: its room has not been full yet
+	failures                     int32   // in a row
+	held, ghosts                 float64 // trips; work that may go on though its trip has ended here
+	expected, answers            float64 // answers due in a nanosecond; answers so far
+	room, strain, queue          float64 // strain: mean time of a trip, as a part of its contract time
+	sentWork                     float64 // decays over the span of the cold rule
+	sentAt                       int64
 }
 
 type tariff struct {
 	Tariff
 	usual float64 // mean time of a trip
-	share float64 // of a node's room that it may fill
+	share float64 // of a primary's room that it may fill
 }
 
 type group struct {
 	members []int32
-	jobs    []Place // held, scratch of one sweep
 	probed  int64
 }
 
 // Router is one router's decisions.
 type Router struct {
-	out      Outside
-	chance   chance
-	tariffs  []tariff
-	nodes    []node
-	groups   []group
-	jobs     []job
-	free     []Place
-	maxTrips int
-	second   bool
-	probes   bool
-	check    bool
-	asking   bool
-	carried  bool
-	whole    bool // the list being told is whole
-
-	sweep, refresh, useful, asideFor, grace, coldFor, span, longestAway int64
-	startShare, borne, perSpan                                          float64
-
-	watchAt, backoff, leastBackoff, mostBackoff int64
-
-	young, old map[uint64]int64 // positions of sessions' last writes
-	floor      int64            // for the sessions forgotten
+	out                                     Outside
+	chance                                  chance
+	tariffs                                 []tariff
+	nodes                                   []node
+	groups                                  []group
+	jobs                                    []job
+	free, waiting                           []Place
+	maxTrips                                int
+	second, probes, check, asking, carried  bool
+	whole                                   bool // the list being told is whole
+	sweep, refresh, useful, asideFor, grace int64
+	coldFor, span, longestAway              int64
+	startShare, perSpan                     float64
+	borne                                   float64 // work sent over the span to a warm node of weight 1
+	watchAt, backoff, leastBackoff          int64
+	young, old                              map[uint64]int64 // positions of sessions' last writes
+	floor                                   int64            // for the sessions forgotten
 }
 
 // chance is a multiply-with-carry generator.
@@ -142,7 +123,7 @@
 		second: c.SecondTrips, probes: c.Probes, check: c.NodesCheck, asking: c.ListOnAsking,
 		carried: c.SessionsCarried, grace: c.DrainGrace, coldFor: c.ColdFor, span: c.FallSpan,
 		startShare: c.StartShare, perSpan: min(1, c.FallMultiple/2), longestAway: c.LongestAbsence,
-		asideFor: 4 * c.ConnectTimeout, leastBackoff: c.AskEvery / 20, mostBackoff: c.AskEvery / 2,
+		asideFor: 4 * c.ConnectTimeout, leastBackoff: c.AskEvery / 20,
 		young: map[uint64]int64{}, old: map[uint64]int64{}}
 	shortest, best, bound := int64(math.MaxInt64), 0.0, int64(math.MaxInt64)
 	for _, t := range c.Tariffs {
@@ -162,16 +143,12 @@
 		r.tariffs = append(r.tariffs, tariff{t, float64(t.ContractTime) / 4, share})
 	}
 	r.sweep = max(c.Tick, shortest/sweeps)
-	r.useful = bound
-	if bound == math.MaxInt64 {
+	if r.useful = bound; bound == math.MaxInt64 {
 		r.useful = 2 * shortest
 	}
 	r.refresh = r.useful * 4 / 5
 	r.backoff = r.leastBackoff
 	r.watchAt = now + r.chance.below(r.leastBackoff)
-	for range 4 {
-		r.chance.below(1)
-	}
 	out.Alarm(r.sweep)
 	return r
 }
@@ -184,18 +161,23 @@
 	}
 }
 
-// Member tells of one node. Nodes and groups are numbered from 0 in the order of their first naming.
-func (r *Router) Member(now int64, n, g, zone int, s Standing, weight float64, launched int64, primary bool) {
+func (r *Router) group(g int) {
 	for len(r.groups) <= g {
 		r.groups = append(r.groups, group{})
 	}
+}
+
+// Member tells of one node. Nodes and groups are numbered from 0 in the order of their first naming.
+func (r *Router) Member(now int64, n, g, zone int, s Standing, weight float64, launched int64, primary bool) {
+	r.group(g)
 	for len(r.nodes) <= n {
 		r.nodes = append(r.nodes, node{group: -1, room: firstRoom, opening: true, queue: -1})
 	}
 	m := &r.nodes[n]
 	if m.group != int32(g) {
 		if m.group >= 0 {
-			r.groups[m.group].drop(int32(n))
+			old := &r.groups[m.group]
+			old.members = slices.DeleteFunc(old.members, func(k int32) bool { return k == int32(n) })
 		}
 		m.group = int32(g)
 		r.groups[g].members = append(r.groups[g].members, int32(n))
@@ -209,43 +191,28 @@
 	m.standing, m.zone, m.weight, m.listed, m.inWhole = s, int32(zone), max(weight, 1e-6), primary, true
 }
 
-func (g *group) drop(n int32) {
-	kept := g.members[:0]
-	for _, m := range g.members {
-		if m != n {
-			kept = append(kept, m)
-		}
-	}
-	g.members = kept
-}
-
-// Listed ends a word from the list. A node absent from a whole list has left.
+// Listed ends a word from the list. A node absent from a whole list has left; one not known yet is probed once.
 func (r *Router) Listed(now int64) {
 	for i := range r.nodes {
-		if m := &r.nodes[i]; r.whole && !m.inWhole && m.group >= 0 {
+		m := &r.nodes[i]
+		if r.whole && !m.inWhole {
 			if m.standing == In {
 				m.told = now
 			}
 			m.standing = Gone
 		}
+		if m.standing == In && m.probed == 0 {
+			r.probe(int32(i), now)
+		}
 	}
 	r.backoff = r.leastBackoff
-	r.probeUnknown(now)
 }
 
 // ListFailed tells that asking for the list failed, or that the watch broke. The next try comes later each time and
 // at a random moment, so that routers that start or fail together don't ask together.
 func (r *Router) ListFailed(now int64) {
 	r.watchAt = now + r.backoff/2 + r.chance.below(r.backoff)
-	r.backoff = min(2*r.backoff, r.mostBackoff)
-}
-
-func (r *Router) probeUnknown(now int64) {
-	for i := range r.nodes {
-		if m := &r.nodes[i]; m.standing == In && m.group >= 0 && m.probed == 0 {
-			r.probe(int32(i), now)
-		}
-	}
+	r.backoff = min(2*r.backoff, 10*r.leastBackoff)
 }
 
 func (r *Router) probe(n int32, now int64) {
@@ -270,10 +237,8 @@
 // never, where sessions carry that.
 func (r *Router) Take(now int64, p Place, t, g int, session uint64, wait, wrote int64) {
 	j := &r.jobs[p]
-	for len(r.groups) <= g {
-		r.groups = append(r.groups, group{})
-	}
-	*j = job{place: p, live: true, tariff: int32(t), group: int32(g), session: session, arrived: now, limit: now + wait,
+	r.group(g)
+	*j = job{place: p, live: true, tariff: int32(t), group: int32(g), session: session, limit: now + wait,
 		wanted: now + min(wait, r.tariffs[t].ContractTime), trips: j.trips[:0]}
 	j.holdEnd = now + int64(holdShare*float64(wait))
 	if r.tariffs[t].Need == Session {
@@ -311,11 +276,8 @@
 // place sends a job on, holds it or ends it.
 func (r *Router) place(j *job, now int64) {
 	t := &r.tariffs[j.tariff]
-	if !r.mayRepeat(j, now) {
-		r.giveUp(j, now, 0)
-		return
-	}
-	if late := now + int64(t.usual/2); late > j.limit || t.LateShare == 0 && late > j.wanted {
+	late := now + int64(t.usual/2)
+	if !r.mayRepeat(j, now) || late > j.limit || t.LateShare == 0 && late > j.wanted {
 		r.giveUp(j, now, 0)
 		return
 	}
@@ -323,10 +285,10 @@
 		n, fresh := r.replica(j, now)
 		if n >= 0 {
 			r.send(j, n, now)
-			return
+		} else if fresh {
+			r.giveUp(j, now, 0)
 		}
 		if fresh {
-			r.giveUp(j, now, 0)
 			return
 		}
 		j.fallback = true
@@ -355,7 +317,7 @@
 		// free, and a long read that stops its node's apply stops it where it costs least. Guards against replicas
 		// lagging all in turn; it harms if the laggard is slow as well, hence only until its answers take half of
 		// their contract time.
-		if t.Need == Any && r.lags(m, now) && m.held+m.ghosts < m.room/2 && m.strain < ease {
+		if t.Need == Any && m.lag > r.useful && m.held+m.ghosts < m.room/2 && m.strain < ease {
 			score += float64(m.lag)
 		}
 		switch {
@@ -379,17 +341,7 @@
 }
 
 func (j *job) tried(n int32) bool {
-	for i := range j.trips {
-		if j.trips[i].node == n {
-			return true
-		}
-	}
-	return false
-}
-
-// lags tells whether a replica is too far behind for the reads that are checked.
-func (r *Router) lags(m *node, now int64) bool {
-	return m.heardPosition > 0 && m.lag > r.useful
+	return slices.ContainsFunc(j.trips, func(k trip) bool { return k.node == n })
 }
 
 // holds tells whether a replica is known, or where nodes check for themselves presumed, to have what the job must
@@ -402,10 +354,7 @@
 	case t.Need == Any || need == 0:
 		return true
 	}
-	if m.position >= need {
-		return m.heardPosition > 0
-	}
-	return r.check && m.heardPosition > m.missed && now-m.heardPosition < 2*r.refresh && now-m.lag >= need
+	return m.position >= need || r.check && m.heardPosition > m.missed && now-m.heardPosition < 2*r.refresh && now-m.lag >= need
 }
 
 // usable tells whether a node may be sent anything new.
@@ -430,13 +379,13 @@
 	return best
 }
 
-// toPrimary sends a job to the primary, or holds it while there is none.
+// toPrimary sends a job to the primary, or holds it while there is none. Of a full primary, reads that replicas can't
+// serve get least and the tariffs with the highest earnings most, so that writes survive replicas lagging all at once.
 func (r *Router) toPrimary(j *job, now int64) {
 	t := &r.tariffs[j.tariff]
 	n := r.primary(j.group, now)
 	if n >= 0 {
-		m := &r.nodes[n]
-		share := t.share
+		m, share := &r.nodes[n], t.share
 		if j.fallback {
 			share = 0.5
 		}
@@ -456,11 +405,11 @@
 			return
 		}
 	}
-	if now >= j.holdEnd {
+	if now >= j.holdEnd || now+2*r.sweep >= j.limit {
 		r.giveUp(j, now, r.longestAway)
-		return
+	} else {
+		j.held = true
 	}
-	j.held = true
 }
 
 // nextMember is the member most likely to be primary that this job has not tried: one with no known role, else the
@@ -519,23 +468,21 @@
 // firstMayRun is when the earliest trip left that may have run, or -1.
 func (j *job) firstMayRun() int64 {
 	for i := range j.trips {
-		if j.trips[i].out || j.trips[i].ending > Moot || j.trips[i].ending == Done {
+		if j.trips[i].mayHaveRun() {
 			return j.trips[i].sent
 		}
 	}
 	return -1
 }
 
+func (k *trip) mayHaveRun() bool { return k.out || k.ending == Done || k.ending > Moot }
+
 // circled tells whether the node is in the circle that discards repeats of the job.
 func (r *Router) circled(j *job, n int32) bool {
-	if t := &r.tariffs[j.tariff]; t.Repeat == Numbered && t.Circle == OfZone && j.firstMayRun() >= 0 {
-		for i := range j.trips {
-			if j.trips[i].ending != Miss && r.nodes[j.trips[i].node].zone != r.nodes[n].zone {
-				return false
-			}
-		}
-	}
-	return true
+	t := &r.tariffs[j.tariff]
+	return t.Repeat != Numbered || t.Circle != OfZone || !slices.ContainsFunc(j.trips, func(k trip) bool {
+		return k.mayHaveRun() && r.nodes[k.node].zone != r.nodes[n].zone
+	})
 }
 
 func (r *Router) send(j *job, n int32, now int64) {
@@ -548,15 +495,15 @@
 	if m.held == 0 {
 		m.heard = now
 	}
-	e := 1 / t.usual
-	then := step((*Router).afterRead)
+	k := trip{node: n, out: true, answers: m.answers, among: m.held + m.ghosts, sent: now, expected: 1 / t.usual,
+		then: (*Router).afterRead}
 	if t.Need == Write {
-		then = (*Router).afterWrite
+		k.then = (*Router).afterWrite
 	}
-	j.trips = append(j.trips, trip{node: n, out: true, answers: m.answers, among: m.held + m.ghosts, sent: now, expected: e, then: then})
+	j.trips = append(j.trips, k)
 	j.out++
 	m.held++
-	m.expected += e
+	m.expected += k.expected
 	r.decay(m, now)
 	m.sentWork += t.usual
 	r.out.Submit(j.place, int(n), j.limit)
@@ -608,16 +555,12 @@
 			m.ghosts++
 		}
 	}
-	position := note.Position
 	if t.Need == Write {
-		position = 0 // a commit's is rounded up, so it is no lower bound
+		note.Position = 0 // a commit's is rounded up, so it is no lower bound
 	}
-	r.noted(m, now, note.Role, position, now)
+	r.noted(m, now, note.Role, note.Position, now)
 	r.reported(m, now, rep)
-	if settled {
-		j.over = true
-	}
-	if !j.over {
+	if j.over = j.over || settled; !j.over {
 		k.then(r, j, e, now)
 	}
 	r.vacate(p)
@@ -683,10 +626,9 @@
 
 // afterRead goes on with a read whose trip has ended without an answer.
 func (r *Router) afterRead(j *job, e Ending, now int64) {
-	if j.out > 0 && e != Miss && e != Full {
-		return
+	if j.out == 0 || e == Miss || e == Full {
+		r.place(j, now)
 	}
-	r.place(j, now)
 }
 
 // afterWrite goes on with a write: after a miss, with the next member.
@@ -705,13 +647,12 @@
 	}
 	j.over, j.held = true, false
 	t := &r.tariffs[j.tariff]
-	p := j.place
 	if t.Repeat == Reissuable || j.firstMayRun() < 0 || t.Repeat == Numbered && t.Circle == OfAll {
-		r.out.Bounce(p, away)
+		r.out.Bounce(j.place, away)
 	} else {
-		r.out.Terminate(p)
+		r.out.Terminate(j.place)
 	}
-	r.vacate(p)
+	r.vacate(j.place)
 }
 
 // Left tells that the job's client has gone; nothing more is owed.
@@ -793,12 +734,17 @@
 		switch {
 		case !j.live || j.over:
 		case j.held:
-			j.held = false
-			r.place(j, now)
+			r.waiting = append(r.waiting, Place(i))
 		case j.out > 0 && now < j.wanted && r.waitsInVain(j, now) && r.mayRepeat(j, now):
 			r.place(j, now)
 		}
 	}
+	slices.SortFunc(r.waiting, func(a, b Place) int { return cmp.Compare(r.jobs[a].limit, r.jobs[b].limit) })
+	for _, p := range r.waiting {
+		r.jobs[p].held = false
+		r.place(&r.jobs[p], now)
+	}
+	r.waiting = r.waiting[:0]
 }
 
 // lateTrips looks after trips past their contract time. Where the node has since answered many others, the trip or
@@ -838,7 +784,9 @@
 	t := &r.tariffs[j.tariff]
 	overdue := max(int64(2*t.usual), t.ContractTime/2)
 	for i := range j.trips {
-		if k := &j.trips[i]; k.out && r.nodes[k.node].aside <= now && (now-k.sent < overdue || r.nodes[k.node].passed(k) < 2) {
+		k := &j.trips[i]
+		m := &r.nodes[k.node]
+		if k.out && m.aside <= now && (now-k.sent < overdue || m.passed(k) < 2) {
 			return false
 		}
 	}
