--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,11 +1,12 @@
-// Package balance decides where each job goes, when it goes again and how it ends. To call it: Open a router, tell
-// it the list (Listing, Member, Listed, ListFailed), its jobs (Seat, Take, Left), the endings of their trips (Ended)
-// and of probes (Probed), and its alarm (Wake). It answers by calls on Outside, which stands in types.go.
+// Package balance decides where each job goes, when it goes again and how it ends. To call it: Open a
+// router, tell it the list (Listing, Member, Listed, ListFailed), its jobs (Seat, Take, Left), the
+// endings of their trips (Ended) and of probes (Probed), and its alarm (Wake). It answers by calls on
+// Outside; that interface and the contract stand in types.go, what a router keeps in state.go.
 //
-// The ordinary path is docs/design.md's. Beside the design stand six mechanisms:
+// The ordinary path is that of docs/design.md. Beside the design stand six mechanisms:
 //  1. room: how many trips a node can hold so that they take half their contract time on average.
-//  2. silence: a node from which answers that were due fail to come, or that fails, is set aside for a while.
-//  3. second trips: a job waiting only on nodes set aside or on overdue trips goes again where there is room to spare.
+//  2. setting aside: a node that fails, or whose answers fail to come, is left alone for a while.
+//  3. second trips: a job that waits in vain goes again, where there is room to spare.
 //  4. cold budget: a young node gets a share of what warm nodes bear.
 //  5. presumption: where nodes check reads themselves, a replica is presumed to hold the lag it last showed.
 //  6. laggards first: reads that any member may answer go to replicas too far behind to serve others.
@@ -18,112 +19,50 @@
 )
 
 const (
-	overdue   = 8   // answers that must have been due for a silent node to be set aside
-	onTrial   = 3   // the same for a node that has come back from being set aside and not answered yet
-	ease      = 0.5 // part of its contract time that a trip may take on average
-	roomUp    = 1.02
-	leastRoom = 1.0
-	firstRoom = 4.0 // grows by one with each answer until time first goes up
-	mostRoom  = 64.0
-	distrust  = 3        // failures in a row after which a node has to prove itself by one trip at a time
-	slow      = 1.0 / 32 // weight of a new figure in a running mean
-	quick     = 1.0 / 8
+	ease      = 0.5      // part of its contract time that a trip may take on average
+	firstRoom = 4.0      // grows by one with each answer until time first goes up
+	mostRoom  = 64.0     // no more is learnt from a node that holds so many
+	roomUp    = 1.02     // with each answer in time from a node at least half full
+	tooLate   = 3 * ease // what a trip counts as that is late and not answered
+	quick     = 1.0 / 8  // weight of a new figure in a running mean
+	slow      = quick / 4
+	missing   = 8   // answers that were due from a node and didn't come, for it to be set aside
+	distrust  = 3   // failures in a row, or answers missing from a node last set aside, for the same
+	passes    = 2   // a trip that its node has passed over so many times is overdue
 	sweeps    = 16  // in the shortest contract time
 	holdShare = 0.2 // of a job's time for which it may be held
+	spare     = 0.5 // part of the room that second trips, laggards, and reads strange to a primary may fill
+	remember  = 1e5 // sessions whose last write is known
 )
 
-// A step says what to do next with a job once a trip of it has ended.
-type step func(r *Router, j *job, e Ending, now int64)
-
-type trip struct {
-	node            int32
-	ending          Ending
-	out, late, lost bool    // late: past its contract time; lost: no longer counted at its node
-	sent            int64   // when
-	answers, among  float64 // what its node had answered, and held, when it left
-	expected        float64 // its share of the answers due at its node
-	then            step
-}
-
-type job struct {
-	place                      Place
-	live, over, held, fallback bool // fallback: no replica is fresh enough
-	tariff, group, out         int32
-	session                    uint64
-	need                       int64 // position that a session read must see
-	wanted, limit, holdEnd     int64 // contract time and hard limit on the clock; until when it may be held
-	trips                      []trip
-}
-
-type node struct {
-	group, zone                  int32
-	standing                     Standing
-	role                         Role
-	weight                       float64
-	listed, inWhole              bool    // as primary; in the whole list being told
-	told, launched               int64   // when it was said to leave; when it started, 0: long ago
-	position, heardPosition, lag int64   // a lower bound; when last told, and how far behind then
-	missed, roleAt               int64   // when it last turned a read away; when its role was true
-	heard                        int64   // when it last answered, or when the oldest of its trips left
-	aside, probed                int64   // until when; when last
-	unreached, probing, opening  bool    // opening: its room has not been full yet
-	failures                     int32   // in a row
-	held, ghosts                 float64 // trips; work that may go on though its trip has ended here
-	expected, answers            float64 // answers due in a nanosecond; answers so far
-	room, strain, queue          float64 // strain: mean time of a trip, as a part of its contract time
-	sentWork                     float64 // decays over the span of the cold rule
-	sentAt                       int64
-}
-
-type tariff struct {
-	Tariff
-	usual float64 // mean time of a trip
-	share float64 // of a primary's room that it may fill
-}
-
-type group struct {
-	members []int32
-	probed  int64
-}
-
 // Router is one router's decisions.
 type Router struct {
-	out                                     Outside
-	chance                                  chance
-	tariffs                                 []tariff
-	nodes                                   []node
-	groups                                  []group
-	jobs                                    []job
-	free, waiting                           []Place
-	maxTrips                                int
-	second, probes, check, asking, carried  bool
-	whole                                   bool // the list being told is whole
-	sweep, refresh, useful, asideFor, grace int64
-	coldFor, span, longestAway              int64
-	startShare, perSpan                     float64
-	borne                                   float64 // work sent over the span to a warm node of weight 1
-	watchAt, backoff, leastBackoff          int64
-	young, old                              map[uint64]int64 // positions of sessions' last writes
-	floor                                   int64            // for the sessions forgotten
-}
-
-// chance is a multiply-with-carry generator.
-type chance uint64
-
-func (c *chance) below(n int64) int64 {
-	*c = chance(uint64(uint32(*c))*4294957665 + uint64(*c)>>32)
-	return int64(uint64(uint32(*c)) * uint64(max(n, 1)) >> 32)
-}
-
-const sessionsKept = 1 << 16
+	out                                    Outside
+	chance                                 chance
+	tariffs                                []tariff
+	nodes                                  []node
+	groups                                 []group
+	jobs                                   []job
+	free, waiting                          []Place
+	maxTrips, word                         int
+	second, probes, check, asking, carried bool
+	whole                                  bool // the list being told is whole
+	sweep, refresh, useful, away           int64
+	asideFor, grace, coldFor, span         int64
+	startShare, perSpan                    float64
+	borne                                  float64          // work sent over the span to a warm node of weight 1
+	watchAt, backoff, leastBackoff         int64            // of asking for the list
+	young, old                             map[uint64]int64 // positions of sessions' last writes
+	floor                                  int64            // that of the sessions forgotten
+}
 
 // Open starts a router.
 func Open(c *Contract, seed uint64, out Outside, now int64) *Router {
 	r := &Router{out: out, chance: chance(seed&0x7fffffffffff | 1<<32 | 1), maxTrips: c.MaxTrips,
 		second: c.SecondTrips, probes: c.Probes, check: c.NodesCheck, asking: c.ListOnAsking,
-		carried: c.SessionsCarried, grace: c.DrainGrace, coldFor: c.ColdFor, span: c.FallSpan,
-		startShare: c.StartShare, perSpan: min(1, c.FallMultiple/2), longestAway: c.LongestAbsence,
-		asideFor: 4 * c.ConnectTimeout, leastBackoff: c.AskEvery / 20,
+		carried: c.SessionsCarried, asideFor: 4 * c.ConnectTimeout, grace: c.DrainGrace / 2,
+		coldFor: c.ColdFor, span: max(c.FallSpan, 1), startShare: c.StartShare,
+		perSpan: min(1, c.FallMultiple/2), away: c.LongestAbsence, leastBackoff: c.AskEvery / 20,
 		young: map[uint64]int64{}, old: map[uint64]int64{}}
 	shortest, best, bound := int64(math.MaxInt64), 0.0, int64(math.MaxInt64)
 	for _, t := range c.Tariffs {
@@ -136,11 +75,7 @@
 		}
 	}
 	for _, t := range c.Tariffs {
-		share := 1.0
-		if t.Need >= Fresh {
-			share = 0.5 + 0.75*t.Earnings/best
-		}
-		r.tariffs = append(r.tariffs, tariff{t, float64(t.ContractTime) / 4, share})
+		r.tariffs = append(r.tariffs, tariff{t, float64(t.ContractTime) / 4, spare + 0.75*t.Earnings/best})
 	}
 	r.sweep = max(c.Tick, shortest/sweeps)
 	if r.useful = bound; bound == math.MaxInt64 {
@@ -156,46 +91,36 @@
 // Listing begins a word from the list; Member and Listed follow.
 func (r *Router) Listing(whole bool) {
 	r.whole = whole
-	for i := range r.nodes {
-		r.nodes[i].inWhole = false
-	}
-}
-
-func (r *Router) group(g int) {
-	for len(r.groups) <= g {
-		r.groups = append(r.groups, group{})
-	}
+	r.word++
 }
 
 // Member tells of one node. Nodes and groups are numbered from 0 in the order of their first naming.
-func (r *Router) Member(now int64, n, g, zone int, s Standing, weight float64, launched int64, primary bool) {
-	r.group(g)
+func (r *Router) Member(now int64, n, g, zone int, s Standing, weight float64, started int64, primary bool) {
 	for len(r.nodes) <= n {
 		r.nodes = append(r.nodes, node{group: -1, room: firstRoom, opening: true, queue: -1})
 	}
 	m := &r.nodes[n]
-	if m.group != int32(g) {
+	if into := r.group(g); m.group != int32(g) {
 		if m.group >= 0 {
-			old := &r.groups[m.group]
+			old := r.group(int(m.group))
 			old.members = slices.DeleteFunc(old.members, func(k int32) bool { return k == int32(n) })
 		}
 		m.group = int32(g)
-		r.groups[g].members = append(r.groups[g].members, int32(n))
+		into.members = append(into.members, int32(n))
 	}
 	if s != In && m.standing == In {
 		m.told = now
 	}
-	if launched != 0 && launched > m.launched {
-		m.launched = launched
-	}
-	m.standing, m.zone, m.weight, m.listed, m.inWhole = s, int32(zone), max(weight, 1e-6), primary, true
+	m.started = max(m.started, started)
+	m.standing, m.zone, m.weight, m.listed, m.word = s, int32(zone), max(weight, 1e-6), primary, r.word
 }
 
-// Listed ends a word from the list. A node absent from a whole list has left; one not known yet is probed once.
+// Listed ends a word from the list. A node absent from a whole list has left; one not known yet is probed
+// once.
 func (r *Router) Listed(now int64) {
 	for i := range r.nodes {
 		m := &r.nodes[i]
-		if r.whole && !m.inWhole {
+		if r.whole && m.word != r.word {
 			if m.standing == In {
 				m.told = now
 			}
@@ -208,8 +133,8 @@
 	r.backoff = r.leastBackoff
 }
 
-// ListFailed tells that asking for the list failed, or that the watch broke. The next try comes later each time and
-// at a random moment, so that routers that start or fail together don't ask together.
+// ListFailed tells that asking for the list failed, or that the watch broke. The next try comes later
+// each time and at a random moment, so that routers that start or fail together don't ask together.
 func (r *Router) ListFailed(now int64) {
 	r.watchAt = now + r.backoff/2 + r.chance.below(r.backoff)
 	r.backoff = min(2*r.backoff, 10*r.leastBackoff)
@@ -222,36 +147,24 @@
 	}
 }
 
-// Seat gives a new job its place.
-func (r *Router) Seat() Place {
-	if k := len(r.free); k > 0 {
-		p := r.free[k-1]
-		r.free = r.free[:k-1]
-		return p
-	}
-	r.jobs = append(r.jobs, job{trips: make([]trip, 0, r.maxTrips)})
-	return Place(len(r.jobs) - 1)
-}
-
-// Take accepts the job at p. Its client waits for the time given; wrote is how long ago its session wrote, 0 for
-// never, where sessions carry that.
+// Take accepts the job at p. Its client waits for the time given; wrote is how long ago its session
+// wrote, 0 for never, where sessions carry that.
 func (r *Router) Take(now int64, p Place, t, g int, session uint64, wait, wrote int64) {
 	j := &r.jobs[p]
 	r.group(g)
 	*j = job{place: p, live: true, tariff: int32(t), group: int32(g), session: session, limit: now + wait,
-		wanted: now + min(wait, r.tariffs[t].ContractTime), trips: j.trips[:0]}
-	j.holdEnd = now + int64(holdShare*float64(wait))
-	if r.tariffs[t].Need == Session {
-		if !r.carried {
-			j.need = r.lastWrite(session)
-		} else if wrote > 0 {
-			j.need = now - wrote
-		}
+		wanted: now + min(wait, r.tariffs[t].ContractTime), holdEnd: now + int64(holdShare*float64(wait)),
+		trips: j.trips[:0]}
+	if !r.carried {
+		j.need = r.lastWrite(session)
+	} else if wrote > 0 {
+		j.need = now - wrote
 	}
 	r.place(j, now)
 }
 
-// lastWrite is the position that the session must see; one forgotten needs what the latest forgotten one did.
+// lastWrite is the position that the session must see; one forgotten needs what the latest forgotten one
+// did.
 func (r *Router) lastWrite(session uint64) int64 {
 	if at, ok := r.young[session]; ok {
 		return at
@@ -263,7 +176,7 @@
 }
 
 func (r *Router) remember(session uint64, at int64) {
-	if len(r.young) >= sessionsKept {
+	if len(r.young) >= remember {
 		for _, p := range r.old {
 			r.floor = max(r.floor, p)
 		}
@@ -273,7 +186,7 @@
 	r.young[session] = max(at, r.lastWrite(session))
 }
 
-// place sends a job on, holds it or ends it.
+// place sends a job on, holds it or ends it. One that can earn nothing any more isn't sent.
 func (r *Router) place(j *job, now int64) {
 	t := &r.tariffs[j.tariff]
 	late := now + int64(t.usual/2)
@@ -296,34 +209,33 @@
 	r.toPrimary(j, now)
 }
 
-// replica is the design's choice among those known to be fresh enough. It also tells whether there was any.
+// replica is the design's choice among those known to be fresh enough. It also tells whether there was
+// any.
 func (r *Router) replica(j *job, now int64) (best int32, fresh bool) {
 	t := &r.tariffs[j.tariff]
 	best = -1
-	top, ties := 0.0, int64(0)
-	primary := r.primary(j.group, now)
+	top, ties, primary := 0.0, int64(0), r.primary(j.group, now)
 	for _, n := range r.groups[j.group].members {
 		m := &r.nodes[n]
-		if n == primary || m.role == Primary && m.roleAt > now-r.asideFor || !r.usable(m, now) || j.tried(n) ||
-			!r.holds(m, j, now) {
+		if n == primary || m.role == Primary && m.roleAt > now-r.asideFor || !r.usable(m, now) ||
+			j.tried(n) || !r.holds(m, j, now) {
 			continue
 		}
 		fresh = true
-		if m.held+m.ghosts >= m.roomFor(j) || !r.bears(m, t.usual, now) {
+		if !r.fits(m, j, 1, now) {
 			continue
 		}
 		score := m.weight * r.warmth(m, now) / (1 + m.held + m.ghosts)
-		// Laggards first, and of them the one furthest behind: it serves none but these reads, so they leave the others
-		// free, and a long read that stops its node's apply stops it where it costs least. Guards against replicas
-		// lagging all in turn; it harms if the laggard is slow as well, hence only until its answers take half of
-		// their contract time.
-		if t.Need == Any && m.lag > r.useful && m.held+m.ghosts < m.room/2 && m.strain < ease {
+		// Laggards first, the one furthest behind before the others: it serves none but these reads, so
+		// they leave the others free, and a long read that stops its node's apply stops it where that
+		// costs least. Guards against replicas lagging all in turn, whatever holds them up. It harms if
+		// the laggard is slow as well, hence only until its answers take half their contract time.
+		if t.Need == Any && m.lag > r.useful && m.strain < ease && r.fits(m, j, spare, now) {
 			score += float64(m.lag)
 		}
-		switch {
-		case score > top:
+		if score > top {
 			top, best, ties = score, n, 1
-		case score == top:
+		} else if score == top {
 			if ties++; r.chance.below(ties) == 0 {
 				best = n
 			}
@@ -332,20 +244,18 @@
 	return best, fresh
 }
 
-// roomFor is a node's room for a job; one that has a trip out already takes only what is to spare.
-func (m *node) roomFor(j *job) float64 {
+// fits tells whether the node can hold one more, of the given part of its room; a second trip takes only
+// spare room.
+func (r *Router) fits(m *node, j *job, part float64, now int64) bool {
 	if j.out > 0 {
-		return m.room / 2
+		part *= spare
 	}
-	return m.room
+	return m.held+m.ghosts < m.room*part && r.bears(m, r.tariffs[j.tariff].usual, now)
 }
 
-func (j *job) tried(n int32) bool {
-	return slices.ContainsFunc(j.trips, func(k trip) bool { return k.node == n })
-}
-
-// holds tells whether a replica is known, or where nodes check for themselves presumed, to have what the job must
-// see. Presumption covers reports as old as the bound itself; it costs a miss, so a miss ends it until news comes.
+// holds tells whether a replica is known, or where nodes check for themselves presumed, to have what the
+// job must see. Presumption is for sites whose reports are nearly as old as the bound; being wrong costs
+// a miss, and a miss ends it until there is news of the replica.
 func (r *Router) holds(m *node, j *job, now int64) bool {
 	need := j.need
 	switch t := &r.tariffs[j.tariff]; {
@@ -354,20 +264,23 @@
 	case t.Need == Any || need == 0:
 		return true
 	}
-	return m.position >= need || r.check && m.heardPosition > m.missed && now-m.heardPosition < 2*r.refresh && now-m.lag >= need
+	return m.position >= need ||
+		r.check && m.heardOf > m.missed && now-m.heardOf < 2*r.refresh && now-m.lag >= need
 }
 
-// usable tells whether a node may be sent anything new.
+// usable tells whether a node may be sent anything new. After failures it proves itself by one trip at a
+// time.
 func (r *Router) usable(m *node, now int64) bool {
 	return m.standing == In && now >= m.aside && (m.failures < distrust || m.held == 0)
 }
 
-// primary is the member whose latest evidence says so, else the one listed if nothing speaks against it, else -1.
+// primary is the member whose latest evidence says so, else the one listed if nothing speaks against it,
+// else -1.
 func (r *Router) primary(g int32, now int64) int32 {
 	best, at := int32(-1), int64(-1)
 	for _, n := range r.groups[g].members {
 		m := &r.nodes[n]
-		if m.standing != In && now > m.told+r.grace/2 {
+		if m.standing != In && now > m.told+r.grace {
 			continue
 		}
 		if m.role == Primary && m.roleAt > at {
@@ -379,18 +292,18 @@
 	return best
 }
 
-// toPrimary sends a job to the primary, or holds it while there is none. Of a full primary, reads that replicas can't
-// serve get least and the tariffs with the highest earnings most, so that writes survive replicas lagging all at once.
+// toPrimary sends a job to the primary, or holds it while there is none. Of a full primary, reads that no
+// replica can serve get least and the tariff with the highest earnings most, so that writes survive
+// replicas lagging all at once.
 func (r *Router) toPrimary(j *job, now int64) {
 	t := &r.tariffs[j.tariff]
-	n := r.primary(j.group, now)
-	if n >= 0 {
+	if n := r.primary(j.group, now); n >= 0 {
 		m, share := &r.nodes[n], t.share
 		if j.fallback {
-			share = 0.5
+			share = spare
 		}
 		if now >= m.aside && (m.failures < distrust || m.held == 0) {
-			if m.held+m.ghosts < m.roomFor(j)*share && r.bears(m, t.usual, now) {
+			if r.fits(m, j, share, now) {
 				r.send(j, n, now)
 				return
 			}
@@ -399,30 +312,29 @@
 				return
 			}
 		}
-	} else if t.Need == Write && len(j.trips) < r.maxTrips-2 {
-		if n = r.nextMember(j, now); n >= 0 {
-			r.send(j, n, now)
-			return
-		}
+	} else if n = r.nextMember(j, now); n >= 0 {
+		r.send(j, n, now)
+		return
 	}
 	if now >= j.holdEnd || now+2*r.sweep >= j.limit {
-		r.giveUp(j, now, r.longestAway)
+		r.giveUp(j, now, r.away)
 	} else {
 		j.held = true
 	}
 }
 
-// nextMember is the member most likely to be primary that this job has not tried: one with no known role, else the
-// one with most of the log among those not lately known to be a replica.
+// nextMember is where a write goes on its round while no member is known to be primary: the one with most
+// of the log among those that it has not tried and that have not just shown to be replicas. The last
+// trips are for after it.
 func (r *Router) nextMember(j *job, now int64) int32 {
 	best, top := int32(-1), int64(-1)
+	if r.tariffs[j.tariff].Need != Write || len(j.trips) >= r.maxTrips-2 {
+		return best
+	}
 	for _, n := range r.groups[j.group].members {
 		m := &r.nodes[n]
-		if !r.usable(m, now) || j.tried(n) || m.role == Replica && m.roleAt > now-r.sweep ||
-			!r.bears(m, r.tariffs[j.tariff].usual, now) {
-			continue
-		}
-		if m.position > top {
+		if r.usable(m, now) && !j.tried(n) && (m.role != Replica || m.roleAt <= now-r.sweep) &&
+			m.position > top && r.bears(m, r.tariffs[j.tariff].usual, now) {
 			best, top = n, m.position
 		}
 	}
@@ -430,28 +342,29 @@
 }
 
 func (r *Router) warmth(m *node, now int64) float64 {
-	if m.launched == 0 || now >= m.launched+r.coldFor {
+	if m.started == 0 || now >= m.started+r.coldFor {
 		return 1
 	}
-	return r.startShare + (1-r.startShare)*float64(max(now-m.launched, 0))/float64(r.coldFor)
+	return r.startShare + (1-r.startShare)*float64(max(now-m.started, 0))/float64(r.coldFor)
 }
 
-// bears tells whether a young node may be sent so much more work: over the rule's span, its warmth's share of what
-// warm nodes bear on average, so that all routers together stay under what it can do. Its own report of waiting
-// jobs closes it. Guards the cold rule also for a primary that is young; it harms where traffic has just jumped.
+// bears tells whether a young node may be sent so much more work: over the rule's span, its warmth's
+// share of what warm nodes bear on average, so that all routers together stay under what it can do. Its
+// own report of waiting jobs closes it. Guards the cold rule for replicas and a young primary; it harms
+// where traffic has just jumped.
 func (r *Router) bears(m *node, work float64, now int64) bool {
 	w := r.warmth(m, now)
 	if w >= 1 {
 		return true
 	}
 	r.decay(m, now)
-	return m.queue < 1 && m.sentWork+work <= w*r.perSpan*r.borne*m.weight
+	return m.queue < 1 && m.work+work <= w*r.perSpan*r.borne*m.weight
 }
 
 func (r *Router) decay(m *node, now int64) {
-	if now > m.sentAt {
-		m.sentWork *= math.Exp(-float64(now-m.sentAt) / float64(r.span))
-		m.sentAt = now
+	if now > m.workAt {
+		m.work *= math.Exp(-float64(now-m.workAt) / float64(r.span))
+		m.workAt = now
 	}
 }
 
@@ -460,11 +373,12 @@
 	if j.over || len(j.trips) >= r.maxTrips || j.out > 0 && !r.second || now >= j.limit {
 		return false
 	}
-	t := &r.tariffs[j.tariff]
-	first := j.firstMayRun()
+	t, first := &r.tariffs[j.tariff], j.firstMayRun()
 	return first < 0 || t.Repeat == Reissuable || t.Repeat == Numbered && now <= first+t.Window
 }
 
+func (k *trip) mayHaveRun() bool { return k.out || k.ending == Done || k.ending > Moot }
+
 // firstMayRun is when the earliest trip left that may have run, or -1.
 func (j *job) firstMayRun() int64 {
 	for i := range j.trips {
@@ -475,9 +389,8 @@
 	return -1
 }
 
-func (k *trip) mayHaveRun() bool { return k.out || k.ending == Done || k.ending > Moot }
-
-// circled tells whether the node is in the circle that discards repeats of the job.
+// circled tells whether the node is in the circle that discards repeats of the job; a job never leaves
+// its group.
 func (r *Router) circled(j *job, n int32) bool {
 	t := &r.tariffs[j.tariff]
 	return t.Repeat != Numbered || t.Circle != OfZone || !slices.ContainsFunc(j.trips, func(k trip) bool {
@@ -491,11 +404,10 @@
 		return
 	}
 	m, t := &r.nodes[n], &r.tariffs[j.tariff]
-	j.held = false
 	if m.held == 0 {
 		m.heard = now
 	}
-	k := trip{node: n, out: true, answers: m.answers, among: m.held + m.ghosts, sent: now, expected: 1 / t.usual,
+	k := trip{node: n, out: true, answers: m.answers, among: m.held + m.ghosts, sent: now, due: 1 / t.usual,
 		then: (*Router).afterRead}
 	if t.Need == Write {
 		k.then = (*Router).afterWrite
@@ -503,14 +415,15 @@
 	j.trips = append(j.trips, k)
 	j.out++
 	m.held++
-	m.expected += k.expected
+	m.due += k.due
 	r.decay(m, now)
-	m.sentWork += t.usual
+	m.work += t.usual
 	r.out.Submit(j.place, int(n), j.limit)
 }
 
 // Ended takes in a trip's ending. If settled, the client has had its answer.
-func (r *Router) Ended(now int64, p Place, leg int, e Ending, settled bool, took int64, note Note, rep Report) {
+func (r *Router) Ended(now int64, p Place, leg int, e Ending, settled bool, took int64, note Note,
+	rep Report) {
 	j := &r.jobs[p]
 	if !j.live || leg < 0 || leg >= len(j.trips) || !j.trips[leg].out {
 		return
@@ -523,14 +436,14 @@
 		m.release(k)
 	}
 	if e <= Full || e == Failed {
-		r.answered(m, now)
+		m.alive(now)
 	}
 	switch e {
 	case Done:
 		m.failures, m.aside = 0, 0
 		m.ghosts -= m.ghosts / (1 + m.held)
-		t.usual += slow * (float64(took) - t.usual)
 		m.answers++
+		t.usual += slow * (float64(took) - t.usual)
 		if !k.late {
 			m.learn(k.among+1, float64(took)/float64(t.ContractTime))
 		}
@@ -542,14 +455,12 @@
 			m.missed = now
 		}
 	case Full:
-		m.room = max(leastRoom, m.room+quick*(k.among-m.room))
+		m.room = max(1, m.room+quick*(k.among-m.room))
 	case Unreachable, Broken:
+		r.failed(m, now, distrust)
 		m.unreached = true
-		r.setAside(m, now)
 	case Failed:
-		if m.failures++; m.failures >= distrust {
-			r.setAside(m, now)
-		}
+		r.failed(m, now, 1)
 	case TimedOut, Revoked:
 		if !k.lost {
 			m.ghosts++
@@ -558,94 +469,90 @@
 	if t.Need == Write {
 		note.Position = 0 // a commit's is rounded up, so it is no lower bound
 	}
-	r.noted(m, now, note.Role, note.Position, now)
-	r.reported(m, now, rep)
+	m.noted(now, note.Role, note.Position, now)
+	m.reported(now, rep)
 	if j.over = j.over || settled; !j.over {
 		k.then(r, j, e, now)
 	}
 	r.vacate(p)
 }
 
-// learn takes in how long a trip took, as a part of its contract time, with so many trips at the node. Where time
-// goes up with their number, room follows it to the number at which a trip takes half its contract time.
+// afterRead goes on with a read whose trip has ended without an answer.
+func (r *Router) afterRead(j *job, e Ending, now int64) {
+	if j.out == 0 || e == Miss || e == Full {
+		r.place(j, now)
+	}
+}
+
+// afterWrite goes on with a write: after a miss, with the next member.
+func (r *Router) afterWrite(j *job, e Ending, now int64) {
+	if j.out == 0 {
+		r.place(j, now)
+	}
+}
+
+// learn takes in how long a trip took, as a part of its contract time, with so many trips at the node.
+// Where time goes up with their number, room follows it to the number at which a trip takes half its
+// contract time. Guards against overload, slow nodes and other routers' traffic alike; it harms where
+// time goes up for all, as answers would come late anyway.
 func (m *node) learn(among, part float64) {
 	m.strain += quick * (part - m.strain)
-	if m.strain > ease {
+	switch {
+	case m.strain > ease:
 		m.opening = false
-		if fit := among * ease / m.strain; fit < m.room {
-			m.room = max(leastRoom, m.room+quick*(fit-m.room))
-		}
-	} else if m.opening && among >= m.room/2 {
+		m.room = max(1, m.room+quick*min(0, among*ease/m.strain-m.room))
+	case among < m.room/2:
+	case m.opening:
 		m.room = min(mostRoom, m.room+1)
-	} else if among >= m.room/2 {
+	default:
 		m.room = min(mostRoom, m.room*roomUp)
 	}
 }
 
-func (r *Router) vacate(p Place) {
-	if j := &r.jobs[p]; j.live && j.over && j.out == 0 {
-		j.live = false
-		r.free = append(r.free, p)
-		r.out.Vacate(p)
-	}
-}
-
-// answered takes in a sign of life. A node that was out of reach has started again, and so may be cold.
-func (r *Router) answered(m *node, now int64) {
+// alive takes in a sign of life. A node that was out of reach may have started again, and so may be cold.
+func (m *node) alive(now int64) {
 	m.heard = now
 	if m.unreached {
-		m.unreached = false
-		m.launched = now
+		m.unreached, m.started = false, now
 	}
 }
 
-// noted takes in evidence of a node's role and position, true at the time given.
-func (r *Router) noted(m *node, now int64, role Role, position, at int64) {
+// noted takes in evidence of a node's role and position, true at the time given: an old report never
+// outdoes a newer answer.
+func (m *node) noted(now int64, role Role, position, at int64) {
 	if role != Unknown && at >= m.roleAt {
 		m.role, m.roleAt = role, at
 	}
 	if position > 0 {
 		m.position = max(m.position, position)
-		m.heardPosition, m.lag = now, now-position
+		m.heardOf, m.lag = now, now-position
 	}
 }
 
-// reported takes in a report. A primary stands at the time of its report, a replica's is no older than its position.
-func (r *Router) reported(m *node, now int64, rep Report) {
+// reported takes in a report. A primary stands at the time of its report, a replica's is no older than
+// its position.
+func (m *node) reported(now int64, rep Report) {
 	if rep.Given {
-		r.noted(m, now, rep.Role, rep.Position, rep.Position)
+		m.noted(now, rep.Role, rep.Position, rep.Position)
 		m.queue = rep.Queue
 	}
 }
 
-// setAside keeps new trips from a node for a fixed time and a random part, so that routers don't return together.
-func (r *Router) setAside(m *node, now int64) {
-	m.failures += distrust
-	m.aside = now + r.asideFor + r.chance.below(r.asideFor)
-}
-
-// afterRead goes on with a read whose trip has ended without an answer.
-func (r *Router) afterRead(j *job, e Ending, now int64) {
-	if j.out == 0 || e == Miss || e == Full {
-		r.place(j, now)
-	}
-}
-
-// afterWrite goes on with a write: after a miss, with the next member.
-func (r *Router) afterWrite(j *job, e Ending, now int64) {
-	if j.out == 0 {
-		r.place(j, now)
+// failed counts failures and, when there are too many, sets the node aside for a fixed time and a random
+// part, so that routers don't return together.
+func (r *Router) failed(m *node, now int64, failures int) {
+	if m.failures += failures; m.failures >= distrust {
+		m.aside = now + r.asideFor + r.chance.below(r.asideFor)
 	}
 }
 
-// giveUp ends a job at once, unless a trip of it may still bring an answer: bounced where a retry is harmless,
-// terminated elsewhere.
+// giveUp ends a job at once, unless a trip of it may still bring an answer: bounced where a retry is
+// harmless, terminated elsewhere.
 func (r *Router) giveUp(j *job, now, away int64) {
 	if j.over || j.out > 0 && now < j.limit {
-		j.held = false
 		return
 	}
-	j.over, j.held = true, false
+	j.over = true
 	t := &r.tariffs[j.tariff]
 	if t.Repeat == Reissuable || j.firstMayRun() < 0 || t.Repeat == Numbered && t.Circle == OfAll {
 		r.out.Bounce(j.place, away)
@@ -657,10 +564,8 @@
 
 // Left tells that the job's client has gone; nothing more is owed.
 func (r *Router) Left(p Place) {
-	if r.jobs[p].live {
-		r.jobs[p].over = true
-		r.vacate(p)
-	}
+	r.jobs[p].over = true
+	r.vacate(p)
 }
 
 // Probed takes in a probe's result.
@@ -668,19 +573,17 @@
 	m := &r.nodes[n]
 	m.probing = false
 	if !ok {
-		if m.failures++; m.failures >= distrust {
-			m.unreached = true
-			r.setAside(m, now)
-		}
+		r.failed(m, now, 1)
+		m.unreached = m.unreached || m.failures >= distrust
 		return
 	}
-	r.reported(m, now, rep)
+	m.reported(now, rep)
 	if m.unreached {
-		r.answered(m, now)
+		m.alive(now)
 	}
 }
 
-// Wake is the alarm: it looks after the nodes, then after the jobs that wait.
+// Wake is the alarm: it looks after the nodes, the groups, and the jobs that wait.
 func (r *Router) Wake(now int64) {
 	r.out.Alarm(r.sweep)
 	if r.asking && r.watchAt > 0 && now >= r.watchAt {
@@ -690,25 +593,22 @@
 	sum, warm := 0.0, 0.0
 	for i := range r.nodes {
 		m := &r.nodes[i]
-		if m.group < 0 {
-			continue
-		}
 		r.decay(m, now)
 		m.ghosts *= 1 - slow
-		patience := float64(overdue)
+		patience := float64(missing)
 		if m.failures >= distrust {
-			patience = onTrial
+			patience = distrust
 		}
-		if m.held > 0 && now >= m.aside && float64(now-m.heard)*m.expected > patience {
-			r.setAside(m, now)
+		if m.held > 0 && now >= m.aside && float64(now-m.heard)*m.due > patience {
+			r.failed(m, now, distrust)
 		}
-		if m.standing != In {
+		if m.standing != In || m.group < 0 {
 			continue
 		}
 		if r.warmth(m, now) >= 1 {
-			sum, warm = sum+m.sentWork/m.weight, warm+1
+			sum, warm = sum+m.work/m.weight, warm+1
 		}
-		if now-m.heardPosition >= r.refresh && now-m.probed >= r.refresh && now >= m.aside {
+		if now-m.heardOf >= r.refresh && now-m.probed >= r.refresh && now >= m.aside {
 			r.probe(int32(i), now)
 		}
 	}
@@ -716,8 +616,8 @@
 		r.borne = sum / warm
 	}
 	for i := range r.groups {
-		g := &r.groups[i]
-		if p := r.primary(int32(i), now); (p < 0 || r.nodes[p].aside > now) && now-g.probed >= 4*r.sweep {
+		g, p := &r.groups[i], r.primary(int32(i), now)
+		if (p < 0 || r.nodes[p].aside > now) && now-g.probed >= 4*r.sweep {
 			g.probed = now
 			for _, n := range g.members {
 				if r.nodes[n].standing == In {
@@ -728,17 +628,17 @@
 	}
 	for i := range r.jobs {
 		j := &r.jobs[i]
-		if j.live && j.out > 0 {
-			r.lateTrips(j, now)
+		if !j.live {
+			continue
 		}
-		switch {
-		case !j.live || j.over:
-		case j.held:
+		waits := r.late(j, now)
+		if j.held && !j.over {
 			r.waiting = append(r.waiting, Place(i))
-		case j.out > 0 && now < j.wanted && r.waitsInVain(j, now) && r.mayRepeat(j, now):
+		} else if !waits && now < j.wanted && r.mayRepeat(j, now) {
 			r.place(j, now)
 		}
 	}
+	// Held jobs go by their hard limits, and no more at once than the primary has room for.
 	slices.SortFunc(r.waiting, func(a, b Place) int { return cmp.Compare(r.jobs[a].limit, r.jobs[b].limit) })
 	for _, p := range r.waiting {
 		r.jobs[p].held = false
@@ -747,48 +647,30 @@
 	r.waiting = r.waiting[:0]
 }
 
-// lateTrips looks after trips past their contract time. Where the node has since answered many others, the trip or
-// its answer may be lost, which says nothing of crowding and holds no room; else the node's strain rises at once.
-func (r *Router) lateTrips(j *job, now int64) {
+// late looks after a job's trips, and tells whether one is worth waiting for: not at a node set aside,
+// and not overdue. A trip past its contract time strains its node at once; but where the node has since
+// passed it over with many other answers, the trip or its answer may be lost, which says nothing of
+// crowding and holds no room. Guards against silent nodes, lost messages and long queues; it harms by its
+// repeats, hence only into spare room.
+func (r *Router) late(j *job, now int64) (waits bool) {
 	t := &r.tariffs[j.tariff]
+	overdue := max(int64(2*t.usual), t.ContractTime/2)
 	for i := range j.trips {
 		k := &j.trips[i]
-		if !k.out || k.late || now-k.sent <= t.ContractTime {
+		if !k.out {
 			continue
 		}
 		m := &r.nodes[k.node]
-		switch p := m.passed(k); {
-		case p >= 3:
-			k.late, k.lost = true, true
-			m.release(k)
-		case p < 2:
-			k.late = true
-			m.learn(k.among+1, 1.5)
-		}
-	}
-}
-
-// passed is how many times over the node has since answered as many trips as were there when this one left.
-func (m *node) passed(k *trip) float64 { return (m.answers - k.answers) / (k.among + 1) }
-
-func (m *node) release(k *trip) {
-	m.held--
-	m.expected -= k.expected
-	if m.held == 0 {
-		m.expected = 0
-	}
-}
-
-// waitsInVain tells whether all that the job waits for are trips to nodes set aside, or overdue ones.
-func (r *Router) waitsInVain(j *job, now int64) bool {
-	t := &r.tariffs[j.tariff]
-	overdue := max(int64(2*t.usual), t.ContractTime/2)
-	for i := range j.trips {
-		k := &j.trips[i]
-		m := &r.nodes[k.node]
-		if k.out && m.aside <= now && (now-k.sent < overdue || m.passed(k) < 2) {
-			return false
+		passed := (m.answers - k.answers) / (k.among + 1)
+		if now-k.sent > t.ContractTime && !k.late {
+			if k.lost = passed >= passes+1; k.lost {
+				m.release(k)
+			} else if passed < passes {
+				m.learn(k.among+1, tooLate)
+			}
+			k.late = k.lost || passed < passes
 		}
+		waits = waits || m.aside <= now && (now-k.sent < overdue || passed < passes)
 	}
-	return true
+	return waits
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -1,5 +1,6 @@
-// Package wire speaks the JSON dialect of the pipe and hosts the routers that live in this process. It decides
-// nothing: each event is a call on a router, and each of the router's answers is written down as it comes.
+// Package wire speaks the JSON dialect of the pipe and hosts the routers that live in this process. It
+// decides nothing: each event is a call on a router, and each of the router's answers is written down as
+// it comes.
 package wire
 
 import (
