--- a/balance/balance.go
+++ b/balance/balance.go
@@ -19,20 +19,20 @@
 )
 
 const (
-	ease      = 0.5      // part of its contract time that a trip may take on average
-	firstRoom = 4.0      // grows by one with each answer until time first goes up
-	mostRoom  = 64.0     // no more is learnt from a node that holds so many
-	roomUp    = 1.02     // with each answer in time from a node at least half full
-	tooLate   = 3 * ease // what a trip counts as that is late and not answered
-	quick     = 1.0 / 8  // weight of a new figure in a running mean
-	slow      = quick / 4
-	missing   = 8   // answers that were due from a node and didn't come, for it to be set aside
-	distrust  = 3   // failures in a row, or answers missing from a node last set aside, for the same
-	passes    = 2   // a trip that its node has passed over so many times is overdue
-	sweeps    = 16  // in the shortest contract time
-	holdShare = 0.2 // of a job's time for which it may be held
-	spare     = 0.5 // part of the room that second trips, laggards, and reads strange to a primary may fill
-	remember  = 1e5 // sessions whose last write is known
+	ease         = 0.5      // part of its contract time that a trip may take on average
+	firstRoom    = 4.0      // grows by one with each answer until time first goes up
+	mostRoom     = 64.0     // no more is learnt from a node that holds so many
+	roomUp       = 1.02     // with each answer in time from a node at least half full
+	tooLate      = 3 * ease // what a trip counts as that is late and not answered
+	quick        = 1.0 / 8  // weight of a new figure in a running mean
+	slow         = quick / 4
+	missing      = 8       // answers that were due from a node and didn't come, for it to be set aside
+	distrust     = 3       // failures in a row, or answers missing from a node last set aside, for the same
+	passes       = 2       // a trip that its node has passed over so many times is overdue
+	sweeps       = 16      // in the shortest contract time
+	holdShare    = 0.2     // of a job's time for which it may be held
+	spare        = 0.5     // part of the room that second trips, laggards, and reads strange to a primary may fill
+	sessionsKept = 1 << 16 // sessions whose last write is known, twice over
 )
 
 // Router is one router's decisions.
@@ -176,7 +176,7 @@
 }
 
 func (r *Router) remember(session uint64, at int64) {
-	if len(r.young) >= remember {
+	if len(r.young) >= sessionsKept {
 		for _, p := range r.old {
 			r.floor = max(r.floor, p)
 		}
--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,354 @@
+package balance
+
+import (
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// shop is a contract with a tariff of each need, in their order.
+func shop() *Contract {
+	c := &Contract{Routers: 2, Tick: 5 * ms, MaxTrips: 6, SecondTrips: true, Probes: true, SessionsCarried: true,
+		AskEvery: 10000 * ms, ConnectTimeout: 250 * ms, DrainGrace: 500 * ms, StartShare: 0.2, ColdFor: 10000 * ms,
+		FallMultiple: 2, FallSpan: 1000 * ms, LongestAbsence: 1000 * ms}
+	for n := Any; n <= Write; n++ {
+		c.Tariffs = append(c.Tariffs, Tariff{Need: n, Bound: 400 * ms, ContractTime: 300 * ms, HardLimit: 1000 * ms,
+			Window: 500 * ms, Earnings: 1})
+	}
+	c.Tariffs[Write].Repeat, c.Tariffs[Write].LateShare = Numbered, 0.5
+	return c
+}
+
+// trio is a ledger with a primary, 0, and two replicas at the given lags.
+func trio(c *Contract, lag1, lag2 int64) *ledger {
+	l := newLedger(c, 7)
+	l.list(node{listed: true}, node{}, node{})
+	l.heard(0, Primary, l.now)
+	l.heard(1, Replica, l.now-lag1)
+	l.heard(2, Replica, l.now-lag2)
+	return l
+}
+
+func finish(l *ledger, i int, e Ending) { l.end(i, e, Note{}, Report{Queue: -1}) }
+
+func want(t *testing.T, l *ledger, nodes ...int) {
+	t.Helper()
+	if got := l.open(); !slices.Equal(got, nodes) {
+		t.Fatalf("trips out to %v, want %v; log %v", got, nodes, l.log)
+	}
+	if l.broken != "" {
+		t.Fatal(l.broken)
+	}
+}
+
+// play runs generated events and returns the ledger; the rules are checked in it as they come.
+func play(t *rapid.T, c *Contract, seed uint64, draw func(max int) int) *ledger {
+	l := newLedger(c, seed)
+	standing := make([]node, 5)
+	for i := range standing {
+		standing[i].zone = int32(i % 2)
+	}
+	standing[0].listed = true
+	l.list(standing...)
+	for range 120 {
+		switch what := draw(12); {
+		case what < 4:
+			wait := int64(draw(1000)+1) * ms
+			l.take(draw(len(c.Tariffs)), 0, uint64(draw(3)), wait, int64(draw(400))*ms)
+		case what < 8:
+			if len(l.trips) == 0 {
+				continue
+			}
+			if i := draw(len(l.trips)); l.trips[i].open {
+				role := Role(draw(3))
+				note := Note{Role: role}
+				if role == Primary || role == Replica && draw(2) == 0 {
+					note.Position = l.now - int64(draw(600))*ms
+				}
+				l.end(i, Ending(draw(int(Revoked)+1)), note, Report{Queue: -1})
+			}
+		case what == 8:
+			if len(l.probes) > 0 {
+				n := l.probes[0]
+				l.probes = l.probes[1:]
+				if draw(3) == 0 {
+					l.r.Probed(l.now, n, false, Report{Queue: -1})
+				} else {
+					l.heard(n, Role(1+draw(2)), l.now-int64(draw(900))*ms)
+				}
+			}
+		case what == 9:
+			m := &standing[draw(len(standing))]
+			m.standing = Standing(draw(3))
+			if draw(3) == 0 {
+				m.started = l.now
+			}
+			l.list(standing...)
+		case what == 10 && len(l.trips) > 0:
+			p := l.trips[draw(len(l.trips))].place
+			if j := l.jobs[p]; !j.ended {
+				j.ended = true
+				l.r.Left(p)
+			}
+		default:
+			l.pass(int64(draw(60)+1) * ms)
+		}
+		if l.broken != "" {
+			t.Fatal(l.broken, l.log)
+		}
+	}
+	l.pass(1100 * ms)
+	for p, j := range l.jobs {
+		t.Fatalf("job %d is not over after its hard limit: %+v", p, *j)
+	}
+	return l
+}
+
+// The router and the plain model in the ledger agree on what is allowed, whatever happens; and the same events lead
+// to the same actions.
+func TestRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := shop()
+		c.NodesCheck = rapid.Bool().Draw(t, "check")
+		c.SecondTrips = rapid.Bool().Draw(t, "second")
+		c.MaxTrips = rapid.IntRange(1, 6).Draw(t, "trips")
+		for i := range c.Tariffs {
+			c.Tariffs[i].Repeat = Repeat(rapid.IntRange(0, 2).Draw(t, "repeat"))
+			c.Tariffs[i].Circle = Circle(rapid.IntRange(0, 2).Draw(t, "circle"))
+		}
+		var drawn []int
+		first := play(t, c, 1, func(n int) int {
+			drawn = append(drawn, rapid.IntRange(0, n-1).Draw(t, "n"))
+			return drawn[len(drawn)-1]
+		})
+		again := play(t, c, 1, func(int) int {
+			n := drawn[0]
+			drawn = drawn[1:]
+			return n
+		})
+		if !slices.Equal(first.log, again.log) {
+			t.Fatal("the same events led to other actions")
+		}
+	})
+}
+
+func TestOrdinaryPath(t *testing.T) {
+	l := trio(shop(), 100*ms, 300*ms)
+	l.r.nodes[0].room = 20
+	l.take(int(Write), 0, 1, 1000*ms, 0)
+	l.take(int(Fresh), 0, 0, 1000*ms, 0)
+	want(t, l, 0, 0)
+	l.take(int(Session), 0, 1, 1000*ms, 200*ms) // only 1 holds it
+	l.take(int(Bounded), 0, 0, 1000*ms, 0)      // both do, 1 is busier
+	want(t, l, 0, 0, 1, 2)
+	l.take(int(Session), 0, 1, 1000*ms, 50*ms) // none does
+	want(t, l, 0, 0, 1, 2, 0)
+}
+
+func TestNoAllocation(t *testing.T) {
+	r := Open(shop(), 3, idle{}, 0)
+	r.Listing(true)
+	r.Member(0, 0, 0, 0, In, 1, 0, true)
+	r.Member(0, 1, 0, 0, In, 1, 0, false)
+	r.Listed(0)
+	now := int64(0)
+	if n := testing.AllocsPerRun(1000, func() {
+		now += 5 * ms
+		p := r.Seat()
+		r.Take(now, p, int(Any), 0, 0, 1000*ms, 0)
+		r.Ended(now+ms, p, 0, Done, true, ms, Note{Replica, now}, Report{Queue: -1})
+		r.Wake(now)
+	}); n > 0 {
+		t.Fatalf("%v allocations a job", n)
+	}
+}
+
+type idle struct{}
+
+func (idle) Submit(Place, int, int64) {}
+func (idle) Bounce(Place, int64)      {}
+func (idle) Terminate(Place)          {}
+func (idle) Alarm(int64)              {}
+func (idle) Probe(int)                {}
+func (idle) Watch()                   {}
+func (idle) Vacate(Place)             {}
+
+// Guards against routers that start together jamming the nodes before the first answers: room opens from small.
+func TestRoomOpensFromSmall(t *testing.T) {
+	l := trio(shop(), 0, 0)
+	for range 100 {
+		l.take(int(Any), 0, 0, 1000*ms, 0)
+	}
+	if n := len(l.open()); n > 2*firstRoom {
+		t.Fatalf("%d trips before any answer", n)
+	}
+}
+
+// Guards against lost messages read as crowding: a trip passed over by many others holds no room.
+func TestLostTripsHoldNoRoom(t *testing.T) {
+	c := shop()
+	l := newLedger(c, 1)
+	l.list(node{listed: true}, node{})
+	l.heard(0, Primary, l.now)
+	l.heard(1, Replica, l.now)
+	l.take(int(Any), 0, 0, 1000*ms, 0)
+	room := l.r.nodes[1].room
+	for range 40 {
+		l.take(int(Any), 0, 0, 1000*ms, 0)
+		l.now += 10 * ms
+		for i := range l.trips {
+			if i > 0 && l.trips[i].open && l.trips[i].node == 1 {
+				finish(l, i, Done)
+				break
+			}
+		}
+		l.r.Wake(l.now)
+	}
+	if m := &l.r.nodes[1]; m.held != 0 || m.room < room || m.aside > l.now {
+		t.Fatalf("held %v, room %v, aside %v", m.held, m.room, m.aside)
+	}
+}
+
+// Guards against a hung node: its jobs go elsewhere, and it is tried by one trip after a while.
+func TestSilentNodeIsSetAside(t *testing.T) {
+	l := trio(shop(), 0, 0)
+	l.r.nodes[2].aside = l.now + 2000*ms // so that the first go to 1
+	l.take(int(Any), 0, 0, 5000*ms, 0)
+	l.take(int(Any), 0, 0, 5000*ms, 0)
+	l.r.nodes[2].aside = 0
+	for i := range l.r.tariffs {
+		l.r.tariffs[i].usual = float64(10 * ms)
+	}
+	l.r.nodes[1].due = 2 / float64(10*ms)
+	l.pass(60 * ms)
+	want(t, l, 1, 1, 2, 2)
+}
+
+// Guards against a write at a hung primary running twice: once its window has lapsed it never goes again.
+func TestNumberedWindowLapses(t *testing.T) {
+	l := trio(shop(), 0, 0)
+	p := l.take(int(Write), 0, 1, 3000*ms, 0)
+	l.pass(600 * ms)
+	l.heard(1, Primary, l.now)
+	finish(l, 0, Broken)
+	if j := l.jobs[p]; j != nil || len(l.open()) > 0 || !slices.Contains(l.log, "terminate 0") {
+		t.Fatal(l.log)
+	}
+}
+
+// Guards against a round of misses: the write tries the members, is held while they are probed, and goes to the one
+// that turns out to be primary.
+func TestWriteFindsNewPrimary(t *testing.T) {
+	l := trio(shop(), 100*ms, 200*ms)
+	l.take(int(Write), 0, 1, 1000*ms, 0)
+	for len(l.open()) > 0 {
+		i := slices.IndexFunc(l.trips, func(k outTrip) bool { return k.open })
+		l.end(i, Miss, Note{Role: Replica}, Report{Queue: -1})
+	}
+	if len(l.trips) != 3 {
+		t.Fatalf("the round had %d trips", len(l.trips))
+	}
+	l.pass(50 * ms)
+	l.heard(2, Primary, l.now)
+	l.pass(30 * ms)
+	want(t, l, 2)
+}
+
+// Guards against an old report that overrides a newer answer.
+func TestOldReportDoesNotOverride(t *testing.T) {
+	l := trio(shop(), 0, 0)
+	l.take(int(Write), 0, 1, 1000*ms, 0)
+	l.now += 100 * ms
+	l.end(0, Miss, Note{Role: Replica}, Report{Queue: -1})
+	l.heard(0, Primary, l.now-50*ms)
+	if l.r.primary(0, l.now) == 0 {
+		t.Fatal("believes the old report")
+	}
+}
+
+// Guards against long reads blocking every replica's apply in turn: they go where the lag already is.
+func TestLaggardsTakeAnyReads(t *testing.T) {
+	l := trio(shop(), 100*ms, 900*ms)
+	l.take(int(Any), 0, 0, 1000*ms, 0)
+	l.take(int(Any), 0, 0, 1000*ms, 0)
+	want(t, l, 2, 2)
+}
+
+// Guards against presumption running on: a miss ends it until the replica is heard of again.
+func TestMissEndsPresumption(t *testing.T) {
+	c := shop()
+	c.NodesCheck = true
+	l := trio(c, 100*ms, 5000*ms)
+	l.pass(350 * ms) // known to be 450 ms old, presumed to be 100 ms behind
+	l.take(int(Bounded), 0, 0, 1000*ms, 0)
+	want(t, l, 1)
+	l.now += 50 * ms
+	finish(l, 0, Miss)
+	want(t, l, 0)
+}
+
+// Guards the cold rule: a young node gets no more than its share of what a warm one bears, also after an outage that
+// the list has not told of.
+func TestColdBudget(t *testing.T) {
+	for _, listed := range []bool{true, false} {
+		l := trio(shop(), 0, 0)
+		sent := [3]int{}
+		for step := range 400 {
+			if step == 200 {
+				if listed {
+					l.list(node{listed: true}, node{}, node{started: l.now})
+				} else {
+					l.r.nodes[2].unreached = true
+					l.heard(2, Replica, l.now)
+				}
+				sent = [3]int{}
+			}
+			for range 3 {
+				l.take(int(Any), 0, 0, 1000*ms, 0)
+			}
+			l.now += 10 * ms
+			for i := 0; i < len(l.trips); i++ {
+				if l.trips[i].open {
+					sent[l.trips[i].node]++
+					finish(l, i, Done)
+					i = -1
+				}
+			}
+			l.r.Wake(l.now)
+		}
+		if sent[2] == 0 || sent[2] > sent[1]*2/3 {
+			t.Fatalf("cold node got %d, warm one %d", sent[2], sent[1])
+		}
+	}
+}
+
+// Guards against stale reads of sessions that were forgotten.
+func TestForgottenSessionsStaySafe(t *testing.T) {
+	c := shop()
+	c.SessionsCarried = false
+	l := trio(c, 100*ms, 100*ms)
+	l.r.remember(1, l.now)
+	for s := range uint64(3 * sessionsKept) {
+		l.r.remember(s+2, l.now-1000*ms)
+	}
+	l.take(int(Session), 0, 1, 1000*ms, 0)
+	want(t, l, 0)
+}
+
+// Guards against a list that can't be reached: asking goes on, later each time.
+func TestAskingGoesOn(t *testing.T) {
+	c := shop()
+	c.ListOnAsking = true
+	l := newLedger(c, 1)
+	for range 400 {
+		before := l.watches
+		l.pass(100 * ms)
+		if l.watches > before {
+			l.r.ListFailed(l.now)
+		}
+	}
+	if l.watches < 5 || l.watches > 20 {
+		t.Fatalf("asked %d times in 40 s", l.watches)
+	}
+}
--- /dev/null
+++ b/balance/helpers_test.go
@@ -0,0 +1,212 @@
+package balance
+
+import "fmt"
+
+const ms = int64(1e6)
+
+// out is a trip as the ledger sees it.
+type outTrip struct {
+	place     Place
+	leg, node int
+	sent      int64
+	open      bool
+	ending    Ending
+}
+
+// ledger is the outside of a router under test: it keeps what was done and says what the rules think of it.
+type ledger struct {
+	r       *Router
+	c       *Contract
+	now     int64
+	trips   []outTrip
+	jobs    map[Place]*kept
+	told    map[int]int64 // when nodes were said to leave
+	best    map[int]int64 // positions told, by node
+	replica map[int]bool  // told by an answer to be no primary
+	once    map[int]bool  // has been primary, as far as anybody told
+	probes  []int
+	watches int
+	log     []string
+	broken  string
+}
+
+type kept struct {
+	tariff, group int
+	need, limit   int64
+	ended         bool
+}
+
+func newLedger(c *Contract, seed uint64) *ledger {
+	l := &ledger{c: c, now: 1e12, jobs: map[Place]*kept{}, told: map[int]int64{}, best: map[int]int64{},
+		replica: map[int]bool{}, once: map[int]bool{}}
+	l.r = Open(c, seed, l, l.now)
+	return l
+}
+
+func (l *ledger) say(format string, args ...any) { l.log = append(l.log, fmt.Sprintf(format, args...)) }
+
+func (l *ledger) breaks(format string, args ...any) {
+	if l.broken == "" {
+		l.broken = fmt.Sprintf(format, args...)
+	}
+}
+
+// Submit checks a trip against the rules, plainly.
+func (l *ledger) Submit(p Place, node int, until int64) {
+	l.say("submit %d %d", p, node)
+	j := l.jobs[p]
+	t := l.c.Tariffs[j.tariff]
+	if j.ended {
+		l.breaks("a trip after the end of job %d", p)
+	}
+	if at, left := l.told[node]; left && l.now > at+l.c.DrainGrace {
+		l.breaks("a trip to node %d after its grace", node)
+	}
+	leg, first, open := 0, int64(-1), 0
+	for _, k := range l.trips {
+		if k.place == p {
+			leg++
+			if k.open {
+				open++
+			}
+			if (k.open || k.ending > Moot || k.ending == Done) && first < 0 {
+				first = k.sent
+			}
+		}
+	}
+	if leg >= l.c.MaxTrips || open > 0 && !l.c.SecondTrips {
+		l.breaks("trip %d of job %d with %d out", leg, p, open)
+	}
+	if first >= 0 && (t.Repeat == AtMostOnce || t.Repeat == Numbered && l.now > first+t.Window) {
+		l.breaks("job %d again, which may have run", p)
+	}
+	need := j.need
+	if t.Need == Bounded {
+		need = l.now - t.Bound
+	}
+	excused := l.once[node] && !l.replica[node]
+	if !l.c.NodesCheck && !excused && (t.Need == Fresh || need > 0 && t.Need != Any && t.Need != Write) &&
+		(t.Need == Fresh || l.best[node] < need) {
+		l.breaks("a stale read at node %d", node)
+	}
+	l.trips = append(l.trips, outTrip{p, leg, node, l.now, true, Done})
+}
+
+func (l *ledger) final(p Place) {
+	j := l.jobs[p]
+	if j.ended {
+		l.breaks("job %d ended twice", p)
+	}
+	if l.now > j.limit+20*ms {
+		l.breaks("job %d ended after its hard limit", p)
+	}
+	j.ended = true
+}
+
+func (l *ledger) Bounce(p Place, stayAway int64) {
+	l.say("bounce %d %d", p, stayAway)
+	t := l.c.Tariffs[l.jobs[p].tariff]
+	for _, k := range l.trips {
+		if k.place == p && (k.open || k.ending > Moot) && t.Repeat != Reissuable &&
+			(t.Repeat == AtMostOnce || t.Circle != OfAll) {
+			l.breaks("job %d bounced, which may have run", p)
+		}
+	}
+	l.final(p)
+}
+
+func (l *ledger) Terminate(p Place) { l.say("terminate %d", p); l.final(p) }
+func (l *ledger) Alarm(after int64) {}
+func (l *ledger) Probe(node int)    { l.say("probe %d", node); l.probes = append(l.probes, node) }
+func (l *ledger) Watch()            { l.say("watch"); l.watches++ }
+func (l *ledger) Vacate(p Place) {
+	kept := l.trips[:0]
+	for _, k := range l.trips {
+		if k.place != p {
+			kept = append(kept, k)
+		} else if k.open {
+			l.breaks("place %d vacated with a trip out", p)
+		}
+	}
+	l.trips = kept
+	delete(l.jobs, p)
+}
+
+func (l *ledger) list(nodes ...node) {
+	l.r.Listing(true)
+	for n, m := range nodes {
+		l.once[n] = l.once[n] || m.listed
+		if m.standing != In {
+			if _, known := l.told[n]; !known {
+				l.told[n] = l.now
+			}
+		} else {
+			delete(l.told, n)
+		}
+		l.r.Member(l.now, n, int(m.group), int(m.zone), m.standing, 1, m.started, m.listed)
+	}
+	l.r.Listed(l.now)
+}
+
+func (l *ledger) take(t, g int, session uint64, wait, wrote int64) Place {
+	p := l.r.Seat()
+	j := &kept{tariff: t, group: g, limit: l.now + wait}
+	if l.c.SessionsCarried && wrote > 0 && l.c.Tariffs[t].Need == Session {
+		j.need = l.now - wrote
+	}
+	l.jobs[p] = j
+	l.r.Take(l.now, p, t, g, session, wait, wrote)
+	return p
+}
+
+// end ends the trip at place i of those kept.
+func (l *ledger) end(i int, e Ending, note Note, rep Report) {
+	k := &l.trips[i]
+	k.open, k.ending = false, e
+	if note.Role == Replica {
+		l.replica[k.node] = true
+	}
+	if note.Role == Primary {
+		l.once[k.node], l.replica[k.node] = true, false
+	}
+	j := l.jobs[k.place]
+	settled := e == Done && !j.ended
+	j.ended = j.ended || settled
+	if note.Position > 0 && l.c.Tariffs[j.tariff].Need != Write {
+		l.best[k.node] = max(l.best[k.node], note.Position)
+	}
+	l.r.Ended(l.now, k.place, k.leg, e, settled, l.now-k.sent, note, rep)
+}
+
+// heard passes on a good probe of a node.
+func (l *ledger) heard(n int, role Role, position int64) {
+	l.best[n] = max(l.best[n], position)
+	if role == Primary {
+		l.once[n] = true
+	}
+	l.r.Probed(l.now, n, true, Report{Given: true, Position: position, Role: role, Queue: -1})
+}
+
+// pass lets time go by, with alarms, and ends trips whose client's time is up.
+func (l *ledger) pass(span int64) {
+	for until := l.now + span; l.now < until; {
+		l.now += 5 * ms
+		for i := 0; i < len(l.trips); i++ {
+			if j := l.jobs[l.trips[i].place]; l.trips[i].open && l.now >= j.limit {
+				l.end(i, TimedOut, Note{}, Report{Queue: -1})
+				i = -1
+			}
+		}
+		l.r.Wake(l.now)
+	}
+}
+
+// open lists the nodes of the trips that are out, in the order in which they left.
+func (l *ledger) open() (nodes []int) {
+	for _, k := range l.trips {
+		if k.open {
+			nodes = append(nodes, k.node)
+		}
+	}
+	return nodes
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,104 @@
+package wire
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+)
+
+const provision = `{"op":"PROVISION","initSeed":5,"facts":{"me":0,"balancers":1,"tickUs":5000,"discovery":"push","unknown":[1],
+"classes":[{"name":"r","aimUs":300000,"deadlineUs":1000000,"repeat":"pure","worth":1.0},
+{"name":"w","aimUs":400000,"deadlineUs":2000000,"repeat":"token","group":"cell","windowUs":1200000,"worth":3.0}],
+"limits":{"sendCap":6,"secondCopies":true,"probes":true,"connectTimeoutUs":250000},
+"rules":{"askEveryUs":10000000,"coldUs":14000000,"drainGraceUs":500000,"fallMultiple":2.0,"fallUs":3000000,"startCapacity":0.15},
+"specifics":{"consistency":["eventual","mutate"],"positionZeroUs":1000000,"reportX0":"position","reportX1":"role",
+"serverChecks":"off","tokenMode":"kept"}}}`
+
+func line(nowUs, events string) string {
+	s := `{"nowUs":` + nowUs + `,"groups":[{"routerId":3,"inbox":[` + events + `]}]}`
+	return strings.ReplaceAll(s, "\n", "") + "\n"
+}
+
+func list(buffer, entries string) string {
+	return `{"op":"DIRECTORY","buffer":` + buffer + `,"rowsIn":[` + entries + `]},
+{"op":"ROSTER_CHANGE","kind":"stale_copy","serial":1,"buffer":` + buffer + `}`
+}
+
+const (
+	primary = `{"writer":1,"node":"a:1","hall":"z","cluster":11,"availability":"IN","heft":1}`
+	replica = `{"writer":0,"node":"b:2","hall":"z","cluster":11,"availability":"IN","heft":1}`
+	read    = `{"op":"INBOUND","job":2196318990275012,"type":"r","budgetUs":500000,"setNo":11}`
+	write   = `{"op":"INBOUND","job":77,"type":"w","connKey":"91f03b7c55d20a64","budgetUs":500000,"setNo":11}`
+)
+
+func serve(t *testing.T, lines ...string) (replies []string, err error) {
+	t.Helper()
+	var out bytes.Buffer
+	err = Serve(strings.NewReader(strings.Join(lines, "")), &out)
+	return strings.Split(strings.TrimSuffix(out.String(), "\n"), "\n"), err
+}
+
+func TestRoundTrip(t *testing.T) {
+	replies, err := serve(t, `{"nowUs":1,"groups":[]}`+"\n",
+		line("2000000", provision+","+list("0", primary+","+replica)),
+		line("2005000", read+","+write),
+		line("2010000", `{"op":"FINISHED","job":77,"leg":0,"node":"a:1","rc":1,"posRole":2,"latencyUs":900}`))
+	if err != nil || len(replies) != 4 {
+		t.Fatal(err, replies)
+	}
+	if replies[0] != `{"groups":[]}` {
+		t.Error(replies[0])
+	}
+	for i, part := range []string{"", `{"op":"PING","node":"b:2"}`,
+		`{"op":"SUBMIT_TO","job":2196318990275012,"node":"b:2","tryUntilUs":2505000}`,
+		`{"op":"SUBMIT_TO","job":77,"node":"b:2","tryUntilUs":2505000}`} {
+		if !strings.Contains(replies[i], part) {
+			t.Errorf("reply %d lacks %s: %s", i, part, replies[i])
+		}
+	}
+	if !strings.Contains(replies[2], `{"op":"SUBMIT_TO","job":77,"node":"a:1","tryUntilUs":2505000}`) {
+		t.Error(replies[2])
+	}
+}
+
+// A router that goes down and comes back in one batch knows only its new list, also where the list's buffer has had
+// another number or content before.
+func TestDownAndUp(t *testing.T) {
+	replies, err := serve(t, line("2000000", provision+","+list("0", primary)+","+write+`,{"op":"DOWN"},`+provision+","+
+		list("1", replica)+","+list("0", replica)), line("2005000", read),
+		line("2010000", `{"op":"FINISHED","job":77,"leg":0,"node":"a:1","rc":253}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if strings.Contains(replies[0], "SUBMIT_TO") || !strings.Contains(replies[1], `"node":"b:2"`) {
+		t.Error(replies)
+	}
+	if replies[2] != `{"groups":[]}` {
+		t.Error("an ending from before the restart had an effect: ", replies[2])
+	}
+}
+
+func TestMalformed(t *testing.T) {
+	up := line("2000000", provision+","+list("0", primary))
+	for _, c := range []struct{ lines, says string }{
+		{"{\"nowUs\":1,\n", "line 1: not JSON"},
+		{"[]\n", "want an object"},
+		{`{"groups":[]}` + "\n", "nowUs is missing"},
+		{`{"nowUs":"x","groups":[]}` + "\n", "nowUs: want a whole number"},
+		{line("1", read), "groups[0].inbox[0] INBOUND: the instance has not been provisioned"},
+		{up + line("2", `{"op":"NONE"}`), "line 2: groups[0].inbox[0] NONE: no such event"},
+		{up + line("2", `{"op":"INBOUND","job":1.5,"type":"r","budgetUs":1}`), "job: want a whole number"},
+		{up + line("2", `{"op":"INBOUND","job":1,"type":"q","budgetUs":1}`), `type "q" is not in the settings`},
+		{up + line("2", `{"op":"INBOUND","job":1,"type":"r","budgetUs":1,"connKey":"xyz"}`), "not hexadecimal"},
+		{up + line("2", `{"op":"PROBE_DONE","node":"c:3"}`), `node "c:3" was never listed`},
+		{up + line("2", `{"op":"ROSTER_CHANGE","kind":"odd"}`), `kind "odd"`},
+		{up + line("2", `{"op":"DIRECTORY","buffer":16}`), "buffer 16"},
+		{line("1", strings.Replace(provision, `"token"`, `"twice"`, 1)), `"twice" is none of`},
+		{line("1", strings.Replace(provision, `"limits"`, `"limit"`, 1)), "limits is missing"},
+	} {
+		_, err := serve(t, c.lines)
+		if err == nil || !strings.Contains(err.Error(), c.says) {
+			t.Errorf("got %v, want %s", err, c.says)
+		}
+	}
+}
