--- a/balance/balance.go
+++ b/balance/balance.go
@@ -226,11 +226,13 @@
 			continue
 		}
 		score := m.weight * r.warmth(m, now) / (1 + m.held + m.ghosts)
-		// Laggards first, the one furthest behind before the others: it serves none but these reads, so
-		// they leave the others free, and a long read that stops its node's apply stops it where that
-		// costs least. Guards against replicas lagging all in turn, whatever holds them up. It harms if
-		// the laggard is slow as well, hence only until its answers take half their contract time.
-		if t.Need == Any && m.lag > r.useful && m.strain < ease && r.fits(m, j, spare, now) {
+		// Laggards first, the one furthest behind before the others: it serves none but these reads, so they
+		// leave the others free, and a long read that stops its node's apply stops it where that costs least.
+		// Guards against replicas lagging all in turn, whatever holds them up. It harms if the laggard is
+		// slow as well: hence only until its answers take half their contract time, and for reads too short
+		// to hold a replica up only into spare room.
+		if t.Need == Any && m.lag > r.useful && m.strain < ease &&
+			(t.usual > float64(r.useful) || r.fits(m, j, spare, now)) {
 			score += float64(m.lag)
 		}
 		if score > top {
