--- a/balance/balance.go
+++ b/balance/balance.go
@@ -458,11 +458,10 @@
 		}
 	case Full:
 		m.room = max(1, m.room+quick*(k.among-m.room))
-	case Unreachable, Broken:
-		r.failed(m, now, distrust)
-		m.unreached = true
-	case Failed:
+	case Unreachable, Broken, Failed:
+		// One of these is no outage: guards against links that break now and then. Several in a row are.
 		r.failed(m, now, 1)
+		m.unreached = m.unreached || e != Failed && m.failures >= distrust
 	case TimedOut, Revoked:
 		if !k.lost {
 			m.ghosts++
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -225,6 +225,18 @@
 	want(t, l, 1, 1, 2, 2)
 }
 
+// Guards against links that break now and then being taken for outages, and their nodes for cold ones.
+func TestBrokenLinkIsNoOutage(t *testing.T) {
+	l := trio(shop(), 0, 0)
+	for i := range 3 {
+		l.take(int(Write), 0, 1, 1000*ms, 0)
+		finish(l, len(l.trips)-1, []Ending{Broken, Unreachable, Done}[i])
+	}
+	if m := &l.r.nodes[0]; m.aside > l.now || m.started > 0 {
+		t.Fatalf("%+v", *m)
+	}
+}
+
 // Guards against a write at a hung primary running twice: once its window has lapsed it never goes again.
 func TestNumberedWindowLapses(t *testing.T) {
 	l := trio(shop(), 0, 0)
