--- a/balance/balance.go
+++ b/balance/balance.go
@@ -19,8 +19,9 @@
 )
 
 const (
-	ease         = 0.5      // part of its contract time that a trip may take on average
-	firstRoom    = 4.0      // grows by one with each answer until time first goes up
+	ease         = 0.5 // part of its contract time that a trip may take on average
+	firstRoom    = 4.0 // grows by opens with each answer until time first goes up
+	opens        = 0.3
 	mostRoom     = 64.0     // no more is learnt from a node that holds so many
 	roomUp       = 1.02     // with each answer in time from a node at least half full
 	tooLate      = 3 * ease // what a trip counts as that is late and not answered
@@ -504,7 +505,7 @@
 		m.room = max(1, m.room+quick*min(0, among*ease/m.strain-m.room))
 	case among < m.room/2:
 	case m.opening:
-		m.room = min(mostRoom, m.room+1)
+		m.room = min(mostRoom, m.room+opens)
 	default:
 		m.room = min(mostRoom, m.room*roomUp)
 	}
