Set a node aside after 24 missing answers, not 8

Cause: with trips of very unequal length, eight answers that are due on average fail to come quite often, so healthy nodes were set aside.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -27,7 +27,7 @@
 	tooLate      = 3 * ease // what a trip counts as that is late and not answered
 	quick        = 1.0 / 8  // weight of a new figure in a running mean
 	slow         = quick / 4
-	missing      = 8       // answers that were due from a node and didn't come, for it to be set aside
+	missing      = 24      // answers that were due from a node and didn't come, for it to be set aside
 	distrust     = 3       // failures in a row, or answers missing from a node last set aside, for the same
 	passes       = 2       // a trip that its node has passed over so many times is overdue
 	sweeps       = 16      // in the shortest contract time
