--- a/balance/balance.go
+++ b/balance/balance.go
@@ -30,6 +30,7 @@
 	missing      = 24      // answers that were due from a node and didn't come, for it to be set aside
 	distrust     = 3       // failures in a row, or answers missing from a node last set aside, for the same
 	passes       = 2       // a trip that its node has passed over so many times is overdue
+	coldPart     = 0.7     // of what pushes a cold node over that all routers together may send it
 	sweeps       = 16      // in the shortest contract time
 	holdShare    = 0.2     // of a job's time for which it may be held
 	spare        = 0.5     // part of the room that second trips, laggards, and reads strange to a primary may fill
@@ -63,7 +64,7 @@
 		second: c.SecondTrips, probes: c.Probes, check: c.NodesCheck, asking: c.ListOnAsking,
 		carried: c.SessionsCarried, asideFor: 4 * c.ConnectTimeout, grace: c.DrainGrace / 2,
 		coldFor: c.ColdFor, span: max(c.FallSpan, 1), startShare: c.StartShare,
-		perSpan: min(1, c.FallMultiple/2), away: c.LongestAbsence, leastBackoff: c.AskEvery / 20,
+		perSpan: coldPart * c.FallMultiple, away: c.LongestAbsence, leastBackoff: c.AskEvery / 20,
 		young: map[uint64]int64{}, old: map[uint64]int64{}}
 	shortest, best, bound := int64(math.MaxInt64), 0.0, int64(math.MaxInt64)
 	for _, t := range c.Tariffs {
