--- a/balance/balance.go
+++ b/balance/balance.go
@@ -228,11 +228,11 @@
 			continue
 		}
 		score := m.weight * r.warmth(m, now) / (1 + m.held + m.ghosts)
-		// Laggards first, the one furthest behind before the others: it serves none but these reads, so they
-		// leave the others free, and a long read that stops its node's apply stops it where that costs least.
-		// Guards against replicas lagging all in turn, whatever holds them up. It harms if the laggard is
-		// slow as well: hence only until its answers take half their contract time, and for reads too short
-		// to hold a replica up only into spare room.
+		// Laggards first, the one furthest behind before the others: it serves none but these reads, so
+		// they leave the others free, and a long read that stops its node's apply stops it where that
+		// costs least. Guards against replicas lagging all in turn, whatever holds them up. It harms if
+		// the laggard is slow as well: hence only until its answers take half their contract time, and
+		// for reads too short to hold a replica up only into spare room.
 		if t.Need == Any && m.lag > r.useful && m.strain < ease &&
 			(t.usual > float64(r.useful) || r.fits(m, j, spare, now)) {
 			score += float64(m.lag)
@@ -248,13 +248,18 @@
 	return best, fresh
 }
 
-// fits tells whether the node can hold one more, of the given part of its room; a second trip takes only
-// spare room.
+// fits tells whether the node can hold one more, of the given part of its room. A second trip takes only
+// spare room. A client that waits for less than the contract time gets room by what it waits: the node's
+// other trips would take too long for it, and its repeats would crowd out patient ones. Harms no one who
+// waits as long as the contract says.
 func (r *Router) fits(m *node, j *job, part float64, now int64) bool {
+	t := &r.tariffs[j.tariff]
 	if j.out > 0 {
 		part *= spare
+	} else {
+		part *= min(1, float64(j.limit-now)/float64(t.ContractTime))
 	}
-	return m.held+m.ghosts < m.room*part && r.bears(m, r.tariffs[j.tariff].usual, now)
+	return m.held+m.ghosts < m.room*part && r.bears(m, t.usual, now)
 }
 
 // holds tells whether a replica is known, or where nodes check for themselves presumed, to have what the
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -187,6 +187,19 @@
 	}
 }
 
+// Guards against hasty clients, whose repeats would take the room of patient ones.
+func TestHastyClientsGetLessRoom(t *testing.T) {
+	l := trio(shop(), 0, 5000*ms)
+	l.r.nodes[1].room = 10
+	for range 6 {
+		l.take(int(Bounded), 0, 0, 1000*ms, 0)
+	}
+	l.take(int(Bounded), 0, 0, 150*ms, 0)
+	want(t, l, 1, 1, 1, 1, 1, 1)
+	l.take(int(Bounded), 0, 0, 1000*ms, 0)
+	want(t, l, 1, 1, 1, 1, 1, 1, 1)
+}
+
 // Guards against lost messages read as crowding: a trip passed over by many others holds no room.
 func TestLostTripsHoldNoRoom(t *testing.T) {
 	c := shop()
