--- a/balance/balance.go
+++ b/balance/balance.go
@@ -101,7 +101,7 @@
 // Member tells of one node. Nodes and groups are numbered from 0 in the order of their first naming.
 func (r *Router) Member(now int64, n, g, zone int, s Standing, weight float64, started int64, primary bool) {
 	for len(r.nodes) <= n {
-		r.nodes = append(r.nodes, node{group: -1, room: firstRoom, opening: true, queue: -1})
+		r.nodes = append(r.nodes, node{self: int32(len(r.nodes)), group: -1, room: firstRoom, opening: true, queue: -1})
 	}
 	m := &r.nodes[n]
 	if into := r.group(g); m.group != int32(g) {
@@ -573,6 +573,7 @@
 // part, so that routers don't return together.
 func (r *Router) failed(m *node, now int64, failures int) {
 	if m.failures += failures; m.failures >= distrust {
+		r.out.Log(int(m.self), "set aside")
 		m.aside = now + r.asideFor + r.chance.below(r.asideFor)
 	}
 }
--- a/balance/helpers_test.go
+++ b/balance/helpers_test.go
@@ -28,6 +28,7 @@
 
 // ledger is the outside of a router under test: it keeps what was done and says what the rules think of it.
 type ledger struct {
+	Outside // what a router has no use for yet
 	r       *Router
 	c       *Contract
 	now     int64
@@ -132,6 +133,7 @@
 func (l *ledger) Terminate(p Place) { l.say("terminate %d", p); l.final(p) }
 func (l *ledger) Alarm(after int64) {}
 func (l *ledger) Probe(node int)    { l.say("probe %d", node); l.probes = append(l.probes, node) }
+func (l *ledger) Log(int, string)   {}
 func (l *ledger) Watch()            { l.say("watch"); l.watches++ }
 func (l *ledger) Vacate(p Place) {
 	kept := l.trips[:0]
@@ -173,7 +175,6 @@
 	return p
 }
 
-// end ends the trip at place i of those kept.
 func (l *ledger) end(i int, e Ending, note Note, rep Report) {
 	k := &l.trips[i]
 	k.open, k.ending = false, e
@@ -193,7 +194,6 @@
 	l.r.Ended(l.now, k.place, k.leg, e, settled, l.now-k.sent, note, rep)
 }
 
-// heard passes on a good probe of a node.
 func (l *ledger) heard(n int, role Role, position int64) {
 	l.best[n] = max(l.best[n], position)
 	if role == Primary {
@@ -219,7 +219,6 @@
 	}
 }
 
-// open lists the nodes of the trips that are out, in the order in which they left.
 func (l *ledger) open() (nodes []int) {
 	for _, k := range l.trips {
 		if k.open {
--- a/balance/state.go
+++ b/balance/state.go
@@ -26,7 +26,7 @@
 }
 
 type node struct {
-	group, zone                 int32
+	self, group, zone           int32
 	standing                    Standing
 	role                        Role
 	weight                      float64
--- a/balance/types.go
+++ b/balance/types.go
@@ -39,7 +39,6 @@
 	Circle       Circle
 	Bound        int64 // Bounded only
 	ContractTime int64
-	HardLimit    int64
 	Window       int64 // Numbered only: how long repeats are discarded, from the first trip that may have run
 	Earnings     float64
 	LateShare    float64 // of the earnings, for an answer between contract time and hard limit
@@ -48,7 +47,6 @@
 // Contract is what a router is told at its start.
 type Contract struct {
 	Tariffs         []Tariff
-	Me, Routers     int
 	Tick            int64
 	MaxTrips        int // for one job
 	SecondTrips     bool
@@ -122,10 +120,15 @@
 // Outside carries a router's answers. Nodes are the caller's small indices.
 type Outside interface {
 	Submit(p Place, node int, until int64)
+	Revoke(p Place, leg int)
 	Bounce(p Place, stayAway int64)
 	Terminate(p Place)
 	Alarm(after int64)
 	Probe(node int)
-	Watch()
-	Vacate(p Place) // the job is over and none of its trips is out
+	Release(node int)              // closes idle connections
+	Watch()                        // asks the list for changes from now on
+	Lookup()                       // asks for the whole list once
+	Tell(router int, words []byte) // another router, or below 0 all others
+	Log(node int, words string)    // a line for the staff
+	Vacate(p Place)                // the job is over and none of its trips is out
 }
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"encoding/base64"
 	"math"
 	"strconv"
 
@@ -35,7 +36,6 @@
 	h.zero = whole(kind, "positionZeroUs", false) * 1000
 	h.x0, h.x1 = str(kind, "reportX0", false) != "", str(kind, "reportX1", false) != ""
 	c := balance.Contract{
-		Me: int(whole(f, "me", false)), Routers: int(whole(f, "balancers", false)),
 		Tick:           whole(f, "tickUs", false) * 1000,
 		MaxTrips:       int(whole(limits, "sendCap", true)),
 		SecondTrips:    flag(limits, "secondCopies"),
@@ -61,7 +61,7 @@
 		if i >= len(needs) {
 			fail("specifics.consistency has %d values, too few for the classes", len(needs))
 		}
-		t := balance.Tariff{ContractTime: whole(v, "aimUs", true) * 1000, HardLimit: whole(v, "deadlineUs", true) * 1000,
+		t := balance.Tariff{ContractTime: whole(v, "aimUs", true) * 1000,
 			Window: whole(v, "windowUs", false) * 1000, Earnings: number(v, "worth", 0),
 			LateShare: number(v, "lateWorth", 0)}
 		t.Need = oneOf[balance.Need](text(needs[i]), "eventual", "lag_bound", "causal", "strong", "mutate")
@@ -258,5 +258,34 @@
 // Watch implements balance.Outside.
 func (h *host) Watch() { h.say(`{"op":"OBSERVE","on":true`).end() }
 
+// Revoke implements balance.Outside.
+func (h *host) Revoke(p balance.Place, leg int) {
+	h.say(`{"op":"REVOKE","job":`).num(h.ids[p]).say(`,"leg":`).num(int64(leg)).end()
+}
+
+// Release implements balance.Outside.
+func (h *host) Release(node int) { h.say(`{"op":"RELEASE","node":`).quote(h.names[node]).end() }
+
+// Lookup implements balance.Outside.
+func (h *host) Lookup() { h.say(`{"op":"LOOKUP"`).end() }
+
+// Tell implements balance.Outside.
+func (h *host) Tell(router int, words []byte) {
+	h.say(`{"op":"MEMO_TO","target":`)
+	if router < 0 {
+		h.say("null")
+	} else {
+		h.num(int64(router))
+	}
+	h.say(`,"content":"`)
+	h.said = base64.StdEncoding.AppendEncode(h.said, words)
+	h.say(`"`).end()
+}
+
+// Log implements balance.Outside.
+func (h *host) Log(node int, words string) {
+	h.say(`{"op":"WRITE_LOG","words":`).quote(words + " " + h.names[node]).end()
+}
+
 // Vacate implements balance.Outside.
 func (h *host) Vacate(p balance.Place) { delete(h.places, h.ids[p]) }
