--- a/balance/balance.go
+++ b/balance/balance.go
@@ -101,7 +101,8 @@
 // Member tells of one node. Nodes and groups are numbered from 0 in the order of their first naming.
 func (r *Router) Member(now int64, n, g, zone int, s Standing, weight float64, started int64, primary bool) {
 	for len(r.nodes) <= n {
-		r.nodes = append(r.nodes, node{self: int32(len(r.nodes)), group: -1, room: firstRoom, opening: true, queue: -1})
+		r.nodes = append(r.nodes, node{self: int32(len(r.nodes)), group: -1, room: firstRoom, opening: true,
+			queue: -1})
 	}
 	m := &r.nodes[n]
 	if into := r.group(g); m.group != int32(g) {
@@ -335,6 +336,9 @@
 			share = spare
 		}
 		if now >= m.aside && (m.failures < distrust || m.held == 0) {
+			if m.mayStillAnswer(j) {
+				return
+			}
 			if r.fits(m, j, share, now) {
 				r.send(j, n, now)
 				return
@@ -409,8 +413,6 @@
 	return first < 0 || t.Repeat == Reissuable || t.Repeat == Numbered && now <= first+t.Window
 }
 
-func (k *trip) mayHaveRun() bool { return k.out || k.ending == Done || k.ending > Moot }
-
 // firstMayRun is when the earliest trip left that may have run, or -1.
 func (j *job) firstMayRun() int64 {
 	for i := range j.trips {
@@ -680,6 +682,14 @@
 	r.waiting = r.waiting[:0]
 }
 
+// mayStillAnswer tells whether the node has a trip of the job that isn't lost beyond much doubt. There is
+// no other primary to try, so a second trip there does the same work twice; it is only for lost answers.
+func (m *node) mayStillAnswer(j *job) bool {
+	return slices.ContainsFunc(j.trips, func(k trip) bool {
+		return k.out && k.node == m.self && m.passed(&k) < 3*passes
+	})
+}
+
 // late looks after a job's trips, and tells whether one is worth waiting for: not at a node set aside,
 // and not overdue. A trip past its contract time strains its node at once; but where the node has since
 // passed it over with many other answers, the trip or its answer may be lost, which says nothing of
@@ -694,7 +704,7 @@
 			continue
 		}
 		m := &r.nodes[k.node]
-		passed := (m.answers - k.answers) / (k.among + 1)
+		passed := m.passed(k)
 		if now-k.sent > t.ContractTime && !k.late {
 			if k.lost = passed >= passes+1; k.lost {
 				m.release(k)
--- a/balance/state.go
+++ b/balance/state.go
@@ -102,3 +102,8 @@
 	*c = chance(uint64(uint32(*c))*4294957665 + uint64(*c)>>32)
 	return int64(uint64(uint32(*c)) * uint64(max(n, 1)) >> 32)
 }
+
+// passed is how many times over the node has answered as many trips as were there when this one left.
+func (m *node) passed(k *trip) float64 { return (m.answers - k.answers) / (k.among + 1) }
+
+func (k *trip) mayHaveRun() bool { return k.out || k.ending == Done || k.ending > Moot }
