--- a/balance/balance.go
+++ b/balance/balance.go
@@ -145,6 +145,7 @@
 	r.backoff = min(2*r.backoff, 10*r.leastBackoff)
 }
 
+// probe asks a node for its report, unless a probe of it is out.
 func (r *Router) probe(n int32, now int64) {
 	if m := &r.nodes[n]; r.probes && !m.probing {
 		m.probing, m.probed = true, now
@@ -397,13 +398,6 @@
 	return m.queue < 1 && m.work+work <= w*r.perSpan*r.borne*m.weight
 }
 
-func (r *Router) decay(m *node, now int64) {
-	if now > m.workAt {
-		m.work *= math.Exp(-float64(now-m.workAt) / float64(r.span))
-		m.workAt = now
-	}
-}
-
 // mayRepeat tells whether another trip is allowed by the job's tariff, wherever it goes in its group.
 func (r *Router) mayRepeat(j *job, now int64) bool {
 	if j.over || len(j.trips) >= r.maxTrips || j.out > 0 && !r.second || now >= j.limit {
--- a/balance/state.go
+++ b/balance/state.go
@@ -1,6 +1,9 @@
 package balance
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 // A step says what to do next with a job once a trip of it has ended.
 type step func(r *Router, j *job, e Ending, now int64)
@@ -107,3 +110,11 @@
 func (m *node) passed(k *trip) float64 { return (m.answers - k.answers) / (k.among + 1) }
 
 func (k *trip) mayHaveRun() bool { return k.out || k.ending == Done || k.ending > Moot }
+
+// decay brings a node's running sum of work sent to the present.
+func (r *Router) decay(m *node, now int64) {
+	if now > m.workAt {
+		m.work *= math.Exp(-float64(now-m.workAt) / float64(r.span))
+		m.workAt = now
+	}
+}
