Probe only for jobs that need it, paid for by jobs

Cause: each router probed every replica on its own, and every member of a group without primary ten times a second; hundreds of routers asked 25 to 80 times a job. Now a job that needs a position asks, from a purse that jobs fill.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -34,6 +34,7 @@
 	sweeps       = 16      // in the shortest contract time
 	holdShare    = 0.2     // of a job's time for which it may be held
 	spare        = 0.5     // part of the room that second trips and reads strange to a primary may fill
+	probing      = 0.25    // probes for a job, when many routers share the traffic
 	sessionsKept = 1 << 16 // sessions whose last write is known, twice over
 )
 
@@ -54,6 +55,7 @@
 	startShare, perSpan                    float64
 	dearest                                float64          // most earnings for work of any read
 	borne                                  float64          // work sent over the span to a warm node
+	purse                                  float64          // probes that may be sent
 	watchAt, backoff, leastBackoff         int64            // of asking for the list
 	young, old                             map[uint64]int64 // positions of sessions' last writes
 	floor                                  int64            // that of the sessions forgotten
@@ -153,11 +155,22 @@
 	}
 }
 
+// again probes a node of which nothing was heard for so long, for a job that would use the news. Probes
+// are paid for by jobs, so that all routers together don't probe more than they send, however many they
+// are; a router with much traffic always has some left. It harms where news gets old between jobs.
+func (r *Router) again(n int32, quiet, now int64) {
+	m := &r.nodes[n]
+	if r.purse >= 1 && now-m.heardOf >= quiet && now-m.probed >= quiet && now >= m.aside && m.standing == In {
+		r.purse--
+		r.probe(n, now)
+	}
+}
+
 // Take accepts the job at p. Its client waits for the time given; wrote is how long ago its session
 // wrote, 0 for never, where sessions carry that.
 func (r *Router) Take(now int64, p Place, t, g int, session uint64, wait, wrote int64) {
 	j := &r.jobs[p]
-	r.group(g)
+	r.purse = min(r.purse+probing, float64(len(r.group(g).members)))
 	*j = job{place: p, live: true, tariff: int32(t), group: int32(g), session: session, limit: now + wait,
 		wanted: now + min(wait, r.tariffs[t].ContractTime), holdEnd: now + int64(holdShare*float64(wait)),
 		trips: j.trips[:0]}
@@ -223,6 +236,9 @@
 	top, ties, primary := 0.0, int64(0), r.primary(j.group, now)
 	for _, n := range r.groups[j.group].members {
 		m := &r.nodes[n]
+		if n != primary && t.Need != Any {
+			r.again(n, r.refresh, now)
+		}
 		if n == primary || m.role == Primary && m.roleAt > now-r.asideFor || !r.usable(m, now) ||
 			j.tried(n) || !r.holds(m, j, now) {
 			continue
@@ -355,8 +371,11 @@
 	}
 	if now >= j.holdEnd || now+2*r.sweep >= j.limit {
 		r.giveUp(j, now, r.away)
-	} else {
-		j.held = true
+		return
+	}
+	j.held = true
+	for _, n := range r.groups[j.group].members {
+		r.again(n, 4*r.sweep, now)
 	}
 }
 
@@ -637,24 +656,10 @@
 		if r.warmth(m, now) >= 1 {
 			sum, warm = sum+m.work/m.weight, warm+1
 		}
-		if now-m.heardOf >= r.refresh && now-m.probed >= r.refresh && now >= m.aside {
-			r.probe(int32(i), now)
-		}
 	}
 	if warm > 0 {
 		r.borne = sum / warm
 	}
-	for i := range r.groups {
-		g, p := &r.groups[i], r.primary(int32(i), now)
-		if (p < 0 || r.nodes[p].aside > now) && now-g.probed >= 4*r.sweep {
-			g.probed = now
-			for _, n := range g.members {
-				if r.nodes[n].standing == In {
-					r.probe(n, now)
-				}
-			}
-		}
-	}
 	for i := range r.jobs {
 		j := &r.jobs[i]
 		if !j.live {
--- a/balance/state.go
+++ b/balance/state.go
@@ -55,10 +55,7 @@
 	share float64 // of a primary's room that it may fill
 }
 
-type group struct {
-	members []int32
-	probed  int64
-}
+type group struct{ members []int32 }
 
 // Seat gives a new job its place.
 func (r *Router) Seat() Place {
