Prefer laggards only where a router's own counts tell something

Cause: at size each router sent every read that any member may answer to the same replica, the one furthest behind, and none of them alone had enough trips there to notice. Now a router follows the preference only with an eighth of a trip at a node on average.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -34,6 +34,7 @@
 	sweeps       = 16      // in the shortest contract time
 	holdShare    = 0.2     // of a job's time for which it may be held
 	spare        = 0.5     // part of the room that second trips and reads strange to a primary may fill
+	tells        = 1.0 / 8 // trips of this router at a node, on average, for its own counts to tell much
 	probing      = 0.25    // probes for a job, when many routers share the traffic
 	sessionsKept = 1 << 16 // sessions whose last write is known, twice over
 )
@@ -254,7 +255,7 @@
 		// costs least. Guards against replicas lagging all in turn, whatever holds them up. It harms if
 		// the laggard is slow as well: hence only until its answers take half their contract time, and
 		// for reads too short to hold a replica up only into spare room.
-		if laggard && m.strain < ease &&
+		if laggard && r.borne > tells*float64(r.span) && m.strain < ease &&
 			(t.usual > float64(r.useful) || r.fits(m, j, spare, now)) {
 			score += float64(m.lag)
 		}
