Presume a replica's lag for as long as nothing speaks against it

Cause: at size a router hears of a replica every few seconds at best, so presumption had lapsed at nearly each job and checked reads fell on the primaries. A miss still ends it.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -316,7 +316,7 @@
 		return true
 	}
 	return m.position >= need ||
-		r.check && m.heardOf > m.missed && now-m.heardOf < 2*r.refresh && now-m.lag >= need
+		r.check && m.heardOf > m.missed && now-m.lag >= need
 }
 
 // usable tells whether a node may be sent anything new. After failures it proves itself by one trip at a
