--- a/balance/balance.go
+++ b/balance/balance.go
@@ -620,9 +620,9 @@
 func (r *Router) Probed(now int64, n int, ok bool, rep Report) {
 	m := &r.nodes[n]
 	m.probing = false
+	// A probe that fails says nothing of trips: it may have been one of too many at once, or be all that
+	// fails there. Nodes that serve nothing show it by their trips.
 	if !ok {
-		r.failed(m, now, 1)
-		m.unreached = m.unreached || m.failures >= distrust
 		return
 	}
 	m.reported(now, rep)
