Probe the members of a group when a job first comes for it

Cause: with the list hundreds of routers probed every node in the same moment; nodes answer few probes at once, so most failed and all checked reads went to the primaries.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -123,8 +123,7 @@
 	m.standing, m.zone, m.weight, m.listed, m.word = s, int32(zone), max(weight, 1e-6), primary, r.word
 }
 
-// Listed ends a word from the list. A node absent from a whole list has left; one not known yet is probed
-// once.
+// Listed ends a word from the list. A node absent from a whole list has left.
 func (r *Router) Listed(now int64) {
 	for i := range r.nodes {
 		m := &r.nodes[i]
@@ -134,9 +133,6 @@
 			}
 			m.standing = Gone
 		}
-		if m.standing == In && m.probed == 0 {
-			r.probe(int32(i), now)
-		}
 	}
 	r.backoff = r.leastBackoff
 }
@@ -237,7 +233,9 @@
 	top, ties, primary := 0.0, int64(0), r.primary(j.group, now)
 	for _, n := range r.groups[j.group].members {
 		m := &r.nodes[n]
-		if n != primary && t.Need != Any {
+		if m.probed == 0 && m.standing == In { // the design's first probe, when a job first asks for the group
+			r.probe(n, now)
+		} else if n != primary && t.Need != Any {
 			r.again(n, r.refresh, now)
 		}
 		if n == primary || m.role == Primary && m.roleAt > now-r.asideFor || !r.usable(m, now) ||
