A read waits a moment for the first news of its group

Cause: routers that start, above all hundreds at once, sent all checked reads to the primaries before the first probe was back; a primary jammed in the first second stayed so for half a minute, which showed as writes refused there.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -168,7 +168,7 @@
 func (r *Router) Take(now int64, p Place, t, g int, session uint64, wait, wrote int64) {
 	j := &r.jobs[p]
 	r.purse = min(r.purse+probing, float64(len(r.group(g).members)))
-	*j = job{place: p, live: true, tariff: int32(t), group: int32(g), session: session, limit: now + wait,
+	*j = job{place: p, live: true, tariff: int32(t), group: int32(g), session: session, limit: now + wait, taken: now,
 		wanted: now + min(wait, r.tariffs[t].ContractTime), holdEnd: now + int64(holdShare*float64(wait)),
 		trips: j.trips[:0]}
 	if !r.carried {
@@ -220,6 +220,14 @@
 		if fresh {
 			return
 		}
+		// A read that came before the first news of its group waits for it a moment, lest all routers that
+		// start together send all their reads to the primaries.
+		if now < j.taken+2*r.sweep && slices.ContainsFunc(r.groups[j.group].members, func(n int32) bool {
+			return r.nodes[n].probing && r.nodes[n].heardOf == 0
+		}) {
+			j.held = true
+			return
+		}
 		j.fallback = true
 	}
 	r.toPrimary(j, now)
@@ -627,6 +635,7 @@
 	if m.unreached {
 		m.alive(now)
 	}
+	r.release(now)
 }
 
 // Wake is the alarm: it looks after the nodes, the groups, and the jobs that wait.
@@ -665,19 +674,26 @@
 			continue
 		}
 		waits := r.late(j, now)
-		if j.held && !j.over {
-			r.waiting = append(r.waiting, Place(i))
-		} else if !waits && now < j.wanted && r.mayRepeat(j, now) {
+		if !j.held && !waits && now < j.wanted && r.mayRepeat(j, now) {
 			r.place(j, now)
 		}
 	}
-	// Held jobs go by their hard limits, and no more at once than the primary has room for.
+	r.release(now)
+}
+
+// release places the held jobs anew, by their hard limits, and no more at once than there is room for.
+func (r *Router) release(now int64) {
+	r.waiting = r.waiting[:0]
+	for i := range r.jobs {
+		if j := &r.jobs[i]; j.live && j.held && !j.over {
+			r.waiting = append(r.waiting, Place(i))
+		}
+	}
 	slices.SortFunc(r.waiting, func(a, b Place) int { return cmp.Compare(r.jobs[a].limit, r.jobs[b].limit) })
 	for _, p := range r.waiting {
 		r.jobs[p].held = false
 		r.place(&r.jobs[p], now)
 	}
-	r.waiting = r.waiting[:0]
 }
 
 // mayStillAnswer tells whether the node has a trip of the job that isn't lost beyond much doubt. There is
--- a/balance/state.go
+++ b/balance/state.go
@@ -24,7 +24,8 @@
 	tariff, group, out         int32
 	session                    uint64
 	need                       int64 // position that a session read must see
-	wanted, limit, holdEnd     int64 // its contract time, its hard limit, and until when it may be held
+	taken, wanted              int64 // when it came in, and its contract time
+	limit, holdEnd             int64 // its hard limit, and until when it may be held
 	trips                      []trip
 }
 
