Take the age of reports off the lag that they show

Cause: a report is up to some 300 ms old, and one unlucky sample kept a replica unpresumed until the next, which at size comes seconds later; bounded reads fell on the primaries. A primary's own reports show how old reports are.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -50,8 +50,8 @@
 	free, waiting                          []Place
 	maxTrips, word                         int
 	second, probes, check, asking, carried bool
-	whole                                  bool // the list being told is whole
-	sweep, refresh, useful, away           int64
+	whole                                  bool  // the list being told is whole
+	sweep, refresh, useful, away, age      int64 // age: of reports, on average
 	asideFor, grace, coldFor, span         int64
 	startShare, perSpan                    float64
 	dearest                                float64          // most earnings for work of any read
@@ -523,7 +523,7 @@
 		note.Position = 0 // a commit's is rounded up, so it is no lower bound
 	}
 	m.noted(now, note.Role, note.Position, now)
-	m.reported(now, rep)
+	r.reported(m, now, rep)
 	if j.over = j.over || settled; !j.over {
 		k.then(r, j, e, now)
 	}
@@ -582,13 +582,18 @@
 	}
 }
 
-// reported takes in a report. A primary stands at the time of its report, a replica's is no older than
-// its position.
-func (m *node) reported(now int64, rep Report) {
-	if rep.Given {
-		m.noted(now, rep.Role, rep.Position, rep.Position)
-		m.queue = rep.Queue
+// reported takes in a report. A primary stands at the time of its report, so its reports show how old
+// reports are; a replica's is no older than its position, and its lag is less by that age.
+func (r *Router) reported(m *node, now int64, rep Report) {
+	if !rep.Given {
+		return
+	}
+	m.noted(now, rep.Role, rep.Position, rep.Position)
+	m.queue = rep.Queue
+	if rep.Role == Primary && rep.Position > 0 {
+		r.age += int64(quick * float64(now-rep.Position-r.age))
 	}
+	m.lag -= min(m.lag, r.age)
 }
 
 // failed counts failures and, when there are too many, sets the node aside for a fixed time and a random
@@ -631,7 +636,7 @@
 	if !ok {
 		return
 	}
-	m.reported(now, rep)
+	r.reported(m, now, rep)
 	if m.unreached {
 		m.alive(now)
 	}
