--- a/balance/balance.go
+++ b/balance/balance.go
@@ -220,11 +220,9 @@
 		if fresh {
 			return
 		}
-		// A read that came before the first news of its group waits for it a moment, lest all routers that
-		// start together send all their reads to the primaries.
-		if now < j.taken+2*r.sweep && slices.ContainsFunc(r.groups[j.group].members, func(n int32) bool {
-			return r.nodes[n].probing && r.nodes[n].heardOf == 0
-		}) {
+		// A read for which no replica is known fresh enough waits a moment for news that is on its way, lest
+		// many routers with few jobs, who seldom know, or all that start together, crowd the primaries.
+		if now < j.taken+2*r.sweep && r.asked(j.group, now) {
 			j.held = true
 			return
 		}
@@ -233,6 +231,17 @@
 	r.toPrimary(j, now)
 }
 
+// asked probes the replicas of a group, as far as the purse goes, and tells whether any news is due.
+func (r *Router) asked(g int32, now int64) (due bool) {
+	for _, n := range r.groups[g].members {
+		if m := &r.nodes[n]; m.role != Primary {
+			r.again(n, 4*r.sweep, now)
+			due = due || m.probing
+		}
+	}
+	return due
+}
+
 // replica is the design's choice among those known to be fresh enough. It also tells whether there was
 // any.
 func (r *Router) replica(j *job, now int64) (best int32, fresh bool) {
@@ -255,13 +264,13 @@
 		if !r.fits(m, j, r.rank(t, laggard), now) {
 			continue
 		}
-		score := m.weight * r.warmth(m, now) / (1 + m.held + m.ghosts)
+		score := m.weight * r.warmth(m, now) / (r.one() + m.held + m.ghosts)
 		// Laggards first, the one furthest behind before the others: it serves none but these reads, so
 		// they leave the others free, and a long read that stops its node's apply stops it where that
 		// costs least. Guards against replicas lagging all in turn, whatever holds them up. It harms if
 		// the laggard is slow as well: hence only until its answers take half their contract time, and
 		// for reads too short to hold a replica up only into spare room.
-		if laggard && r.borne > tells*float64(r.span) && m.strain < ease &&
+		if laggard && !r.sparse() && m.strain < ease &&
 			(t.usual > float64(r.useful) || r.fits(m, j, spare, now)) {
 			score += float64(m.lag)
 		}
@@ -276,6 +285,19 @@
 	return best, fresh
 }
 
+// one is the one in the design's one more than the trips out. A router that has hardly any trips out would
+// find the nodes with the highest weight idle each time, and all routers together would crowd them; so it
+// counts a random part of one, by which idle nodes are chosen about in proportion to their weights.
+func (r *Router) one() float64 {
+	if r.sparse() {
+		return float64(1+r.chance.below(1<<20)) / (1 << 20)
+	}
+	return 1
+}
+
+// sparse tells whether the router has so few trips out at a node, on average, that they tell little.
+func (r *Router) sparse() bool { return r.borne < tells*float64(r.span) }
+
 // rank is the part of a replica's room that a tariff may fill: the whole for the one that earns most for
 // its work, less for others, so that overload bounces what earns least. Of a laggard, reads that any
 // member may answer compete with none. Harms the worst-served tariff where earnings for work differ much,
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -141,7 +141,10 @@
 	l.take(int(Session), 0, 1, 1000*ms, 200*ms) // only 1 holds it
 	l.take(int(Bounded), 0, 0, 1000*ms, 0)      // both do, 1 is busier
 	want(t, l, 0, 0, 1, 2)
-	l.take(int(Session), 0, 1, 1000*ms, 50*ms) // none does
+	l.take(int(Session), 0, 1, 1000*ms, 50*ms) // none does, also not once the replicas were asked
+	l.heard(1, Replica, l.now-60*ms)
+	l.heard(2, Replica, l.now-60*ms)
+	l.pass(40 * ms)
 	want(t, l, 0, 0, 1, 2, 0)
 }
 
@@ -394,6 +397,7 @@
 		l.r.remember(s+2, l.now-1000*ms)
 	}
 	l.take(int(Session), 0, 1, 1000*ms, 0)
+	l.pass(40 * ms)
 	want(t, l, 0)
 }
 
