Weigh strained nodes less where own counts are near nothing

Cause: nodes that run slow while their reports say little get as much as others until trips pile up.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -265,6 +265,9 @@
 			continue
 		}
 		score := m.weight * r.warmth(m, now) / (r.one() + m.held + m.ghosts)
+		if r.sparse() {
+			score *= min(1, ease/m.strain)
+		}
 		// Laggards first, the one furthest behind before the others: it serves none but these reads, so
 		// they leave the others free, and a long read that stops its node's apply stops it where that
 		// costs least. Guards against replicas lagging all in turn, whatever holds them up. It harms if
