Where own counts tell little: room from all nodes, filled by what nodes show

Cause: hundreds of routers with a room of four at each node are no limit; each node's time is learnt in minutes by one router alone. Now such a router learns one room over all its trips and compares it with what a node's last report shows (trips held, waiting, or busy cores), which fades within two contract times. Also covers slow nodes with false reports, as the room is learnt from answers. It harms if nodes differ much in size.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -39,6 +39,8 @@
 	sessionsKept = 1 << 16 // sessions whose last write is known, twice over
 )
 
+var opened = room{size: firstRoom, opening: true}
+
 // Router is one router's decisions.
 type Router struct {
 	out                                    Outside
@@ -55,6 +57,8 @@
 	asideFor, grace, coldFor, span         int64
 	startShare, perSpan                    float64
 	dearest                                float64          // most earnings for work of any read
+	shared                                 room             // of all nodes, for want of better
+	fade                                   int64            // how long what a node shows counts
 	borne                                  float64          // work sent over the span to a warm node
 	purse                                  float64          // probes that may be sent
 	watchAt, backoff, leastBackoff         int64            // of asking for the list
@@ -88,6 +92,7 @@
 		r.useful = 2 * shortest
 	}
 	r.refresh = r.useful * 4 / 5
+	r.fade, r.shared = 2*shortest, opened
 	r.backoff = r.leastBackoff
 	r.watchAt = now + r.chance.below(r.leastBackoff)
 	r.appraise()
@@ -104,8 +109,7 @@
 // Member tells of one node. Nodes and groups are numbered from 0 in the order of their first naming.
 func (r *Router) Member(now int64, n, g, zone int, s Standing, weight float64, started int64, primary bool) {
 	for len(r.nodes) <= n {
-		r.nodes = append(r.nodes, node{self: int32(len(r.nodes)), group: -1, room: firstRoom, opening: true,
-			queue: -1})
+		r.nodes = append(r.nodes, node{self: int32(len(r.nodes)), group: -1, room: opened, queue: -1})
 	}
 	m := &r.nodes[n]
 	if into := r.group(g); m.group != int32(g) {
@@ -264,16 +268,16 @@
 		if !r.fits(m, j, r.rank(t, laggard), now) {
 			continue
 		}
-		score := m.weight * r.warmth(m, now) / (r.one() + m.held + m.ghosts)
+		score := m.weight * r.warmth(m, now) / (r.one() + r.crowd(m, now))
 		if r.sparse() {
-			score *= min(1, ease/m.strain)
+			score *= min(1, ease/m.room.strain)
 		}
 		// Laggards first, the one furthest behind before the others: it serves none but these reads, so
 		// they leave the others free, and a long read that stops its node's apply stops it where that
 		// costs least. Guards against replicas lagging all in turn, whatever holds them up. It harms if
 		// the laggard is slow as well: hence only until its answers take half their contract time, and
 		// for reads too short to hold a replica up only into spare room.
-		if laggard && !r.sparse() && m.strain < ease &&
+		if laggard && !r.sparse() && m.room.strain < ease &&
 			(t.usual > float64(r.useful) || r.fits(m, j, spare, now)) {
 			score += float64(m.lag)
 		}
@@ -332,7 +336,26 @@
 	} else {
 		part *= min(1, float64(j.limit-now)/float64(t.ContractTime))
 	}
-	return m.held+m.ghosts < m.room*part && r.bears(m, t.usual, now)
+	return r.crowd(m, now) < r.roomOf(m).size*part && r.bears(m, t.usual, now)
+}
+
+// crowd is how many trips a node is thought to hold: this router's own, and where those tell little also
+// what the node showed last, which fades. A node that shows too little is told by its strain.
+func (r *Router) crowd(m *node, now int64) float64 {
+	own := m.held + m.ghosts
+	if age := float64(now-m.shownAt) / float64(r.fade); r.sparse() && age < 1 {
+		return max(own, m.shown*(1-age))
+	}
+	return own
+}
+
+// roomOf is the node's own room, or where the router has too few trips to learn that, one that it learns
+// from all nodes and that each of them has.
+func (r *Router) roomOf(m *node) *room {
+	if r.sparse() {
+		return &r.shared
+	}
+	return &m.room
 }
 
 // holds tells whether a replica is known, or where nodes check for themselves presumed, to have what the
@@ -486,7 +509,7 @@
 	if m.held == 0 {
 		m.heard = now
 	}
-	k := trip{node: n, out: true, answers: m.answers, among: m.held + m.ghosts, sent: now, due: 1 / t.usual,
+	k := trip{node: n, out: true, answers: m.answers, among: m.held + m.ghosts, crowd: r.crowd(m, now), sent: now, due: 1 / t.usual,
 		then: (*Router).afterRead}
 	if t.Need == Write {
 		k.then = (*Router).afterWrite
@@ -524,7 +547,7 @@
 		m.answers++
 		t.usual += slow * (float64(took) - t.usual)
 		if !k.late {
-			m.learn(k.among+1, float64(took)/float64(t.ContractTime))
+			r.learn(m, k.crowd+1, float64(took)/float64(t.ContractTime))
 		}
 		if t.Need == Write && !r.carried && note.Position > 0 {
 			r.remember(j.session, note.Position)
@@ -534,7 +557,8 @@
 			m.missed = now
 		}
 	case Full:
-		m.room = max(1, m.room+quick*(k.among-m.room))
+		full := r.roomOf(m)
+		full.size = max(1, full.size+quick*(k.crowd-full.size))
 	case Unreachable, Broken, Failed:
 		// One of these is no outage: guards against links that break now and then. Several in a row are.
 		r.failed(m, now, 1)
@@ -573,17 +597,24 @@
 // Where time goes up with their number, room follows it to the number at which a trip takes half its
 // contract time. Guards against overload, slow nodes and other routers' traffic alike; it harms where
 // time goes up for all, as answers would come late anyway.
-func (m *node) learn(among, part float64) {
+func (r *Router) learn(m *node, among, part float64) {
+	m.room.learn(among, part)
+	if r.sparse() {
+		r.shared.learn(among, part)
+	}
+}
+
+func (m *room) learn(among, part float64) {
 	m.strain += quick * (part - m.strain)
 	switch {
 	case m.strain > ease:
 		m.opening = false
-		m.room = max(1, m.room+quick*min(0, among*ease/m.strain-m.room))
-	case among < m.room/2:
+		m.size = max(1, m.size+quick*min(0, among*ease/m.strain-m.size))
+	case among < m.size/2:
 	case m.opening:
-		m.room = min(mostRoom, m.room+opens)
+		m.size = min(mostRoom, m.size+opens)
 	default:
-		m.room = min(mostRoom, m.room*roomUp)
+		m.size = min(mostRoom, m.size*roomUp)
 	}
 }
 
@@ -615,6 +646,15 @@
 	}
 	m.noted(now, rep.Role, rep.Position, rep.Position)
 	m.queue = rep.Queue
+	switch { // trips held, or waiting, or as many as keep a queue so busy on average
+	case rep.Held >= 0:
+		m.shown = rep.Held
+	case rep.Queue > 0:
+		m.shown = rep.Queue + firstRoom
+	default:
+		m.shown = min(firstRoom, rep.Busy/max(1-rep.Busy, 1/firstRoom))
+	}
+	m.shownAt = now
 	if rep.Role == Primary && rep.Position > 0 {
 		r.age += int64(quick * float64(now-rep.Position-r.age))
 	}
@@ -756,7 +796,7 @@
 				if m.heard <= k.sent && now >= m.aside {
 					r.failed(m, now, 1) // for routers with few jobs, from which few answers are due
 				}
-				m.learn(k.among+1, tooLate)
+				r.learn(m, k.crowd+1, tooLate)
 			}
 			k.late = k.lost || passed < passes
 		}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -30,7 +30,7 @@
 	return l
 }
 
-func finish(l *ledger, i int, e Ending) { l.end(i, e, Note{}, Report{Queue: -1}) }
+func finish(l *ledger, i int, e Ending) { l.end(i, e, Note{}, Report{Queue: -1, Held: -1}) }
 
 func want(t *testing.T, l *ledger, nodes ...int) {
 	t.Helper()
@@ -66,14 +66,14 @@
 				if role == Primary || role == Replica && draw(2) == 0 {
 					note.Position = l.now - int64(draw(600))*ms
 				}
-				l.end(i, Ending(draw(int(Revoked)+1)), note, Report{Queue: -1})
+				l.end(i, Ending(draw(int(Revoked)+1)), note, Report{Queue: -1, Held: -1})
 			}
 		case what == 8:
 			if len(l.probes) > 0 {
 				n := l.probes[0]
 				l.probes = l.probes[1:]
 				if draw(3) == 0 {
-					l.r.Probed(l.now, n, false, Report{Queue: -1})
+					l.r.Probed(l.now, n, false, Report{Queue: -1, Held: -1})
 				} else {
 					l.heard(n, Role(1+draw(2)), l.now-int64(draw(900))*ms)
 				}
@@ -134,7 +134,7 @@
 
 func TestOrdinaryPath(t *testing.T) {
 	l := trio(shop(), 100*ms, 300*ms)
-	l.r.nodes[0].room = 20
+	l.r.nodes[0].room.size, l.r.shared.size = 20, 20
 	l.take(int(Write), 0, 1, 1000*ms, 0)
 	l.take(int(Fresh), 0, 0, 1000*ms, 0)
 	want(t, l, 0, 0)
@@ -159,7 +159,7 @@
 		now += 5 * ms
 		p := r.Seat()
 		r.Take(now, p, int(Any), 0, 0, 1000*ms, 0)
-		r.Ended(now+ms, p, 0, Done, true, ms, Note{Replica, now}, Report{Queue: -1})
+		r.Ended(now+ms, p, 0, Done, true, ms, Note{Replica, now}, Report{Queue: -1, Held: -1})
 		r.Wake(now)
 	}); n > 0 {
 		t.Fatalf("%v allocations a job", n)
@@ -183,7 +183,7 @@
 		l.take(int(Bounded), 0, 0, 1000*ms, 0)
 	}
 	want(t, l, 1, 1, 1) // as much as a node gets before its first answer
-	l.r.nodes[1].room = 10
+	l.r.nodes[1].room.size, l.r.shared.size = 10, 10
 	for range 9 {
 		l.take(int(Bounded), 0, 0, 1000*ms, 0)
 	}
@@ -201,7 +201,7 @@
 	l.heard(0, Primary, l.now)
 	l.heard(1, Replica, l.now)
 	l.take(int(Any), 0, 0, 1000*ms, 0)
-	room := l.r.nodes[1].room
+	room := l.r.nodes[1].room.size
 	for range 40 {
 		l.take(int(Any), 0, 0, 1000*ms, 0)
 		l.now += 10 * ms
@@ -213,7 +213,7 @@
 		}
 		l.r.Wake(l.now)
 	}
-	if m := &l.r.nodes[1]; m.held != 0 || m.room < room || m.aside > l.now {
+	if m := &l.r.nodes[1]; m.held != 0 || m.room.size < room || m.aside > l.now {
 		t.Fatalf("held %v, room %v, aside %v", m.held, m.room, m.aside)
 	}
 }
@@ -290,7 +290,7 @@
 	l.take(int(Write), 0, 1, 1000*ms, 0)
 	for len(l.open()) > 0 {
 		i := slices.IndexFunc(l.trips, func(k outTrip) bool { return k.open })
-		l.end(i, Miss, Note{Role: Replica}, Report{Queue: -1})
+		l.end(i, Miss, Note{Role: Replica}, Report{Queue: -1, Held: -1})
 	}
 	if len(l.trips) != 3 {
 		t.Fatalf("the round had %d trips", len(l.trips))
@@ -306,7 +306,7 @@
 	l := trio(shop(), 0, 0)
 	l.take(int(Write), 0, 1, 1000*ms, 0)
 	l.now += 100 * ms
-	l.end(0, Miss, Note{Role: Replica}, Report{Queue: -1})
+	l.end(0, Miss, Note{Role: Replica}, Report{Queue: -1, Held: -1})
 	l.heard(0, Primary, l.now-50*ms)
 	if l.r.primary(0, l.now) == 0 {
 		t.Fatal("believes the old report")
@@ -333,7 +333,7 @@
 func TestFailedProbeIsNoFailure(t *testing.T) {
 	l := trio(shop(), 0, 0)
 	for range 2 * distrust {
-		l.r.Probed(l.now, 0, false, Report{Queue: -1})
+		l.r.Probed(l.now, 0, false, Report{Queue: -1, Held: -1})
 	}
 	l.take(int(Write), 0, 1, 1000*ms, 0)
 	want(t, l, 0)
--- a/balance/helpers_test.go
+++ b/balance/helpers_test.go
@@ -202,7 +202,7 @@
 			delete(l.replica, n)
 		}
 	}
-	l.r.Probed(l.now, n, true, Report{Given: true, Position: position, Role: role, Queue: -1})
+	l.r.Probed(l.now, n, true, Report{Given: true, Position: position, Role: role, Queue: -1, Held: -1})
 }
 
 // pass lets time go by, with alarms, and ends trips whose client's time is up.
@@ -211,7 +211,7 @@
 		l.now += 5 * ms
 		for i := 0; i < len(l.trips); i++ {
 			if j := l.jobs[l.trips[i].place]; l.trips[i].open && l.now >= j.limit {
-				l.end(i, TimedOut, Note{}, Report{Queue: -1})
+				l.end(i, TimedOut, Note{}, Report{Queue: -1, Held: -1})
 				i = -1
 			}
 		}
--- a/balance/state.go
+++ b/balance/state.go
@@ -13,7 +13,8 @@
 	ending          Ending
 	out, late, lost bool    // late: past its contract time; lost: no longer counted at its node
 	sent            int64   // when
-	answers, among  float64 // what its node had answered, and held, when it left
+	answers, among  float64 // what its node had answered, and held of this router's, when it left
+	crowd           float64 // what it was thought to hold in all
 	due             float64 // answers in a nanosecond
 	then            step
 }
@@ -30,24 +31,32 @@
 }
 
 type node struct {
-	self, group, zone           int32
-	standing                    Standing
-	role                        Role
-	weight                      float64
-	listed                      bool    // as primary
-	word                        int     // of the list that last named it
-	told, started               int64   // when it was said to leave, and when it started (0: long ago)
-	position, heardOf, lag      int64   // a lower bound, when it was last told, and how far behind then
-	roleAt, missed              int64   // when its role was true, and when it last turned a read away
-	heard                       int64   // when it last answered, or the oldest of its trips left
-	aside, probed               int64   // until when, and when last
-	unreached, probing, opening bool    // opening: its room has not been full yet
-	failures                    int     // in a row
-	held, ghosts                float64 // trips, and work that may go on though its trip has ended here
-	due, answers                float64 // answers due in a nanosecond, and answers so far
-	room, strain, queue         float64 // strain: mean time of a trip, as a part of its contract time
-	work                        float64 // sent; decays over the span of the cold rule
-	workAt                      int64
+	self, group, zone      int32
+	standing               Standing
+	role                   Role
+	weight                 float64
+	listed                 bool  // as primary
+	word                   int   // of the list that last named it
+	told, started          int64 // when it was said to leave, and when it started (0: long ago)
+	position, heardOf, lag int64 // a lower bound, when it was last told, and how far behind then
+	roleAt, missed         int64 // when its role was true, and when it last turned a read away
+	heard                  int64 // when it last answered, or the oldest of its trips left
+	aside, probed          int64 // until when, and when last
+	unreached, probing     bool
+	failures               int     // in a row
+	held, ghosts           float64 // trips, and work that may go on though its trip has ended here
+	due, answers           float64 // answers due in a nanosecond, and answers so far
+	room                   room
+	queue, shown           float64 // jobs waiting, and trips held, by its last report
+	shownAt                int64
+	work                   float64 // sent; decays over the span of the cold rule
+	workAt                 int64
+}
+
+// room is how many trips a node can hold in good time.
+type room struct {
+	size, strain float64 // strain: mean time of a trip, as a part of its contract time
+	opening      bool    // it has not been full yet
 }
 
 type tariff struct {
--- a/balance/types.go
+++ b/balance/types.go
@@ -106,6 +106,8 @@
 	Position int64 // 0: not given
 	Role     Role
 	Queue    float64 // jobs waiting; below 0: not given
+	Held     float64 // jobs waiting or in work; below 0: not given
+	Busy     float64 // part of its cores
 }
 
 // Note is what an answer says of the node that gave it.
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -195,9 +195,10 @@
 func (h *host) report(e *fastjson.Value) balance.Report {
 	v := field(e, "report")
 	if v == nil {
-		return balance.Report{Queue: -1}
+		return balance.Report{Queue: -1, Held: -1}
 	}
-	r := balance.Report{Given: true, Queue: number(v, "depth", -1)}
+	r := balance.Report{Given: true, Queue: number(v, "depth", -1), Held: number(v, "concurrent", -1),
+		Busy: number(v, "load_share", 0)}
 	if h.x0 && field(v, "x0") != nil {
 		r.Position = h.zero + int64(math.Floor(number(v, "x0", 0)*1e6))*1000
 	}
