--- a/balance/balance.go
+++ b/balance/balance.go
@@ -35,7 +35,7 @@
 	holdShare    = 0.2     // of a job's time for which it may be held
 	spare        = 0.5     // part of the room that second trips and reads strange to a primary may fill
 	tells        = 1.0 / 8 // trips of this router at a node, on average, for its own counts to tell much
-	probing      = 0.25    // probes for a job, when many routers share the traffic
+	probing      = 1.0     // probes for a job, when many routers share the traffic
 	sessionsKept = 1 << 16 // sessions whose last write is known, twice over
 )
 
