One router asks all nodes and tells the others; without that, a job asks two nodes first

Where routers may talk, one asks all nodes once in the shortest contract time and tells what it heard; who hears nobody for two such times begins after a random wait, and yields to a lower number. What a node shows is its queue where it tells one.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -14,6 +14,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"math"
 	"slices"
 )
@@ -35,7 +36,7 @@
 	holdShare    = 0.2     // of a job's time for which it may be held
 	spare        = 0.5     // part of the room that second trips and reads strange to a primary may fill
 	tells        = 1.0 / 8 // trips of this router at a node, on average, for its own counts to tell much
-	probing      = 1.0     // probes for a job, when many routers share the traffic
+	probing      = 2.0     // probes for a job, when many routers share the traffic
 	sessionsKept = 1 << 16 // sessions whose last write is known, twice over
 )
 
@@ -56,7 +57,11 @@
 	sweep, refresh, useful, away, age      int64 // age: of reports, on average
 	asideFor, grace, coldFor, span         int64
 	startShare, perSpan                    float64
-	dearest                                float64          // most earnings for work of any read
+	dearest                                float64 // most earnings for work of any read
+	peers, speaking                        bool
+	me                                     int
+	marks                                  map[uint32][]int32
+	period, speakAt, tellAt, toldAt        int64
 	shared                                 room             // of all nodes, for want of better
 	fade                                   int64            // how long what a node shows counts
 	borne                                  float64          // work sent over the span to a warm node
@@ -73,6 +78,7 @@
 		carried: c.SessionsCarried, asideFor: 4 * c.ConnectTimeout, grace: c.DrainGrace / 2,
 		coldFor: c.ColdFor, span: max(c.FallSpan, 1), startShare: c.StartShare,
 		perSpan: coldPart * c.FallMultiple, away: c.LongestAbsence, leastBackoff: c.AskEvery / 20,
+		peers: c.RoutersTalk, me: c.Me, marks: map[uint32][]int32{},
 		young: map[uint64]int64{}, old: map[uint64]int64{}}
 	shortest, best, bound := int64(math.MaxInt64), 0.0, int64(math.MaxInt64)
 	for _, t := range c.Tariffs {
@@ -93,6 +99,8 @@
 	}
 	r.refresh = r.useful * 4 / 5
 	r.fade, r.shared = 2*shortest, opened
+	r.period = shortest
+	r.listen(now)
 	r.backoff = r.leastBackoff
 	r.watchAt = now + r.chance.below(r.leastBackoff)
 	r.appraise()
@@ -107,11 +115,15 @@
 }
 
 // Member tells of one node. Nodes and groups are numbered from 0 in the order of their first naming.
-func (r *Router) Member(now int64, n, g, zone int, s Standing, weight float64, started int64, primary bool) {
+func (r *Router) Member(now int64, n, g, zone int, mark uint32, s Standing, weight float64, started int64,
+	primary bool) {
 	for len(r.nodes) <= n {
 		r.nodes = append(r.nodes, node{self: int32(len(r.nodes)), group: -1, room: opened, queue: -1})
 	}
 	m := &r.nodes[n]
+	if m.mark = mark; !slices.Contains(r.marks[mark], int32(n)) {
+		r.marks[mark] = append(r.marks[mark], int32(n))
+	}
 	if into := r.group(g); m.group != int32(g) {
 		if m.group >= 0 {
 			old := r.group(int(m.group))
@@ -161,7 +173,10 @@
 // are; a router with much traffic always has some left. It harms where news gets old between jobs.
 func (r *Router) again(n int32, quiet, now int64) {
 	m := &r.nodes[n]
-	if r.purse >= 1 && now-m.heardOf >= quiet && now-m.probed >= quiet && now >= m.aside && m.standing == In {
+	if now-r.toldAt < 2*r.period {
+		quiet = max(quiet, 2*r.period)
+	}
+	if r.purse >= 1 && now-m.shownAt >= quiet && now-m.probed >= quiet && now >= m.aside && m.standing == In {
 		r.purse--
 		r.probe(n, now)
 	}
@@ -214,6 +229,16 @@
 		r.giveUp(j, now, 0)
 		return
 	}
+	if r.sparse() && now-r.toldAt >= 2*r.period && len(j.trips) == 0 && now < j.taken+2*r.sweep {
+		if !j.asked {
+			j.asked = true
+			r.sound(j, now)
+		}
+		if slices.ContainsFunc(r.groups[j.group].members, func(n int32) bool { return r.nodes[n].probing }) {
+			j.held = true
+			return
+		}
+	}
 	if t.Need < Fresh {
 		n, fresh := r.replica(j, now)
 		if n >= 0 {
@@ -235,6 +260,27 @@
 	r.toPrimary(j, now)
 }
 
+// sound asks two members that the job may go to, taken at random, for their load.
+func (r *Router) sound(j *job, now int64) {
+	members := r.groups[j.group].members
+	if len(members) == 0 {
+		return
+	}
+	primary, two := r.primary(j.group, now), 0
+	if r.tariffs[j.tariff].Need >= Fresh {
+		if primary >= 0 {
+			r.again(primary, r.fade/4, now)
+		}
+		return
+	}
+	for k, at := 0, int(r.chance.below(int64(len(members)))); k < len(members) && two < 2; k++ {
+		if n := members[(at+k)%len(members)]; n != primary {
+			two++
+			r.again(n, r.fade/4, now)
+		}
+	}
+}
+
 // asked probes the replicas of a group, as far as the purse goes, and tells whether any news is due.
 func (r *Router) asked(g int32, now int64) (due bool) {
 	for _, n := range r.groups[g].members {
@@ -649,8 +695,8 @@
 	switch { // trips held, or waiting, or as many as keep a queue so busy on average
 	case rep.Held >= 0:
 		m.shown = rep.Held
-	case rep.Queue > 0:
-		m.shown = rep.Queue + firstRoom
+	case rep.Queue >= 0:
+		m.shown = rep.Queue
 	default:
 		m.shown = min(firstRoom, rep.Busy/max(1-rep.Busy, 1/firstRoom))
 	}
@@ -692,6 +738,67 @@
 	r.vacate(p)
 }
 
+// listen leaves the word to others, until nothing has been heard for a while.
+func (r *Router) listen(now int64) {
+	r.speaking, r.tellAt, r.speakAt = false, 0, now+2*r.period+r.chance.below(4*r.period)
+}
+
+// speak asks all nodes in turn and tells the other routers, where many have few trips each: so that one
+// asks for all. Whoever hears nobody begins after a random time, and ends when one with a lower number
+// speaks.
+func (r *Router) speak(now int64) {
+	if !r.peers || !r.sparse() {
+		return
+	}
+	if now >= r.speakAt {
+		r.speaking, r.speakAt, r.tellAt, r.toldAt = true, now+r.period, now+2*r.sweep, now
+		for i := range r.nodes {
+			if m := &r.nodes[i]; m.standing == In && m.group >= 0 {
+				r.probe(int32(i), now)
+			}
+		}
+	} else if r.speaking && r.tellAt > 0 && now >= r.tellAt {
+		r.tellAt = 0
+		words := binary.BigEndian.AppendUint64(nil, uint64(now))
+		for i := range r.nodes {
+			m := &r.nodes[i]
+			if m.answered < now-r.period || m.position == 0 {
+				continue
+			}
+			words = binary.BigEndian.AppendUint32(words, m.mark)
+			words = binary.BigEndian.AppendUint16(words, uint16(min((now-m.position)/1e6+1, 1<<16-1)))
+			words = append(words, byte(m.role)<<6|byte(min(m.shown, 1<<6-1)))
+			if len(words)+7 > 256 {
+				r.out.Tell(-1, words)
+				words = words[:8]
+			}
+		}
+		if len(words) > 8 {
+			r.out.Tell(-1, words)
+		}
+	}
+}
+
+// Heard takes in what another router tells. It only ever is news of nodes that the own list has named.
+func (r *Router) Heard(now int64, from int, words []byte) {
+	r.toldAt = now
+	if !r.speaking || from < r.me {
+		r.listen(now)
+	}
+	if len(words) < 8 {
+		return
+	}
+	at := int64(binary.BigEndian.Uint64(words))
+	for words = words[8:]; len(words) >= 7; words = words[7:] {
+		named, age := r.marks[binary.BigEndian.Uint32(words)], binary.BigEndian.Uint16(words[4:])
+		if len(named) == 1 && at <= now && age < 1<<16-1 {
+			m := &r.nodes[named[0]]
+			r.reported(m, now, Report{Given: true, Position: at - int64(age)*1e6, Role: Role(words[6] >> 6),
+				Queue: m.queue, Held: float64(words[6] & 63)})
+		}
+	}
+}
+
 // Probed takes in a probe's result.
 func (r *Router) Probed(now int64, n int, ok bool, rep Report) {
 	m := &r.nodes[n]
@@ -702,6 +809,7 @@
 		return
 	}
 	r.reported(m, now, rep)
+	m.answered = now
 	if m.unreached {
 		m.alive(now)
 	}
@@ -715,6 +823,7 @@
 		r.watchAt = 0
 		r.out.Watch()
 	}
+	r.speak(now)
 	r.appraise()
 	sum, warm := 0.0, 0.0
 	for i := range r.nodes {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -7,6 +7,9 @@
 	"pgregory.net/rapid"
 )
 
+// dense is work borne by each node such that a router's own counts tell something.
+const dense = 1e15
+
 // shop is a contract with a tariff of each need, in their order.
 func shop() *Contract {
 	c := &Contract{Tick: 5 * ms, MaxTrips: 6, SecondTrips: true, Probes: true, SessionsCarried: true,
@@ -23,6 +26,7 @@
 // trio is a ledger with a primary, 0, and two replicas at the given lags.
 func trio(c *Contract, lag1, lag2 int64) *ledger {
 	l := newLedger(c, 7)
+	l.dense = true
 	l.list(node{listed: true}, node{}, node{})
 	l.heard(0, Primary, l.now)
 	l.heard(1, Replica, l.now-lag1)
@@ -134,7 +138,7 @@
 
 func TestOrdinaryPath(t *testing.T) {
 	l := trio(shop(), 100*ms, 300*ms)
-	l.r.nodes[0].room.size, l.r.shared.size = 20, 20
+	l.r.nodes[0].room.size = 20
 	l.take(int(Write), 0, 1, 1000*ms, 0)
 	l.take(int(Fresh), 0, 0, 1000*ms, 0)
 	want(t, l, 0, 0)
@@ -144,19 +148,20 @@
 	l.take(int(Session), 0, 1, 1000*ms, 50*ms) // none does, also not once the replicas were asked
 	l.heard(1, Replica, l.now-60*ms)
 	l.heard(2, Replica, l.now-60*ms)
-	l.pass(40 * ms)
+	l.now += 40 * ms
+	l.r.release(l.now)
 	want(t, l, 0, 0, 1, 2, 0)
 }
 
 func TestNoAllocation(t *testing.T) {
 	r := Open(shop(), 3, idle{}, 0)
 	r.Listing(true)
-	r.Member(0, 0, 0, 0, In, 1, 0, true)
-	r.Member(0, 1, 0, 0, In, 1, 0, false)
+	r.Member(0, 0, 0, 0, 0, In, 1, 0, true)
+	r.Member(0, 1, 0, 0, 1, In, 1, 0, false)
 	r.Listed(0)
 	now := int64(0)
 	if n := testing.AllocsPerRun(1000, func() {
-		now += 5 * ms
+		now, r.borne = now+5*ms, dense
 		p := r.Seat()
 		r.Take(now, p, int(Any), 0, 0, 1000*ms, 0)
 		r.Ended(now+ms, p, 0, Done, true, ms, Note{Replica, now}, Report{Queue: -1, Held: -1})
@@ -183,7 +188,7 @@
 		l.take(int(Bounded), 0, 0, 1000*ms, 0)
 	}
 	want(t, l, 1, 1, 1) // as much as a node gets before its first answer
-	l.r.nodes[1].room.size, l.r.shared.size = 10, 10
+	l.r.nodes[1].room.size = 10
 	for range 9 {
 		l.take(int(Bounded), 0, 0, 1000*ms, 0)
 	}
@@ -197,6 +202,7 @@
 func TestLostTripsHoldNoRoom(t *testing.T) {
 	c := shop()
 	l := newLedger(c, 1)
+	l.dense = true
 	l.list(node{listed: true}, node{})
 	l.heard(0, Primary, l.now)
 	l.heard(1, Replica, l.now)
@@ -318,11 +324,10 @@
 func TestLaggardsTakeAnyReads(t *testing.T) {
 	for _, sparse := range []bool{false, true} {
 		l := trio(shop(), 100*ms, 900*ms)
-		if l.r.borne = float64(l.c.FallSpan); sparse {
-			l.r.borne = 0
-		}
+		l.dense = !sparse
 		l.take(int(Any), 0, 0, 1000*ms, 0)
 		l.take(int(Any), 0, 0, 1000*ms, 0)
+		l.pass(40 * ms)
 		if to := l.open(); (to[0] == 2 && to[1] == 2) == sparse {
 			t.Fatal(to, sparse)
 		}
@@ -387,6 +392,69 @@
 	}
 }
 
+// Guards against many routers with few jobs each, who can't tell a full node by their own trips: what nodes show
+// counts, fades, and a primary full by its own word gets no reads that no replica can serve.
+func TestShownCrowdCounts(t *testing.T) {
+	l := trio(shop(), 100*ms, 100*ms)
+	l.dense = false
+	show := func(n int, held float64) {
+		l.r.Probed(l.now, n, true, Report{Given: true, Position: l.now, Role: l.r.nodes[n].role, Queue: -1, Held: held})
+	}
+	show(0, 50)
+	show(1, 50)
+	show(2, 1)
+	for range 3 {
+		l.take(int(Any), 0, 0, 1000*ms, 0)
+	}
+	l.take(int(Fresh), 0, 0, 1000*ms, 0)
+	l.pass(40 * ms)
+	want(t, l, 2, 2, 2)
+	l.now += l.r.fade
+	l.take(int(Fresh), 0, 0, 1000*ms, 0)
+	l.pass(40 * ms)
+	want(t, l, 2, 2, 2, 0)
+}
+
+// Guards against hundreds of routers that each ask all nodes: one asks and tells, the others listen and begin by
+// themselves only after silence; what is no news of nodes that the own list names changes nothing.
+func TestOneTellsTheOthers(t *testing.T) {
+	c := shop()
+	c.RoutersTalk, c.Me = true, 1
+	a := trio(c, 0, 0)
+	for a.pass(1 * ms); len(a.words) == 0; a.pass(5 * ms) {
+		for len(a.probes) > 0 {
+			n := a.probes[0]
+			a.probes = a.probes[1:]
+			a.heard(n, a.r.nodes[n].role, a.now-20*ms)
+		}
+		if a.now > 1e12+10*a.r.period {
+			t.Fatal("nobody speaks")
+		}
+	}
+	c.Me = 2
+	b := newLedger(c, 5)
+	b.list(node{listed: true}, node{}, node{})
+	b.now = a.now + 10*ms
+	for _, junk := range [][]byte{nil, {1, 2, 3}, append(slices.Clone(a.words[0][:8]), 9, 9, 9, 9, 0, 1, 200),
+		a.words[0][:12]} {
+		b.r.Heard(b.now, 1, junk)
+	}
+	if b.r.nodes[1].position != 0 {
+		t.Fatal("junk was believed")
+	}
+	b.r.Heard(b.now, 1, a.words[0])
+	if m := &b.r.nodes[1]; m.position < a.now-100*ms || m.position > a.now-20*ms || m.role != Replica {
+		t.Fatalf("%+v", *m)
+	}
+	for range 20 {
+		b.pass(c.Tick)
+		b.r.Heard(b.now, 1, a.words[0])
+	}
+	if len(b.words) > 0 || b.r.speaking {
+		t.Fatal("speaks while another does")
+	}
+}
+
 // Guards against stale reads of sessions that were forgotten.
 func TestForgottenSessionsStaySafe(t *testing.T) {
 	c := shop()
--- a/balance/helpers_test.go
+++ b/balance/helpers_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 )
 
@@ -39,9 +40,11 @@
 	replica map[int]int64 // when an answer told that it is no primary
 	once    map[int]bool  // has been primary, as far as anybody told
 	probes  []int
+	words   [][]byte // what it told the other routers
 	watches int
 	log     []string
 	broken  string
+	dense   bool // the router is to think that its own counts tell something
 }
 
 type kept struct {
@@ -134,7 +137,11 @@
 func (l *ledger) Alarm(after int64) {}
 func (l *ledger) Probe(node int)    { l.say("probe %d", node); l.probes = append(l.probes, node) }
 func (l *ledger) Log(int, string)   {}
-func (l *ledger) Watch()            { l.say("watch"); l.watches++ }
+func (l *ledger) Tell(_ int, words []byte) {
+	l.say("tell %x", words)
+	l.words = append(l.words, slices.Clone(words))
+}
+func (l *ledger) Watch() { l.say("watch"); l.watches++ }
 func (l *ledger) Vacate(p Place) {
 	kept := l.trips[:0]
 	for _, k := range l.trips {
@@ -159,12 +166,15 @@
 		} else {
 			delete(l.told, n)
 		}
-		l.r.Member(l.now, n, int(m.group), int(m.zone), m.standing, 1, m.started, m.listed)
+		l.r.Member(l.now, n, int(m.group), int(m.zone), uint32(n), m.standing, 1, m.started, m.listed)
 	}
 	l.r.Listed(l.now)
 }
 
 func (l *ledger) take(t, g int, session uint64, wait, wrote int64) Place {
+	if l.dense {
+		l.r.borne = dense
+	}
 	p := l.r.Seat()
 	j := &kept{tariff: t, group: g, limit: l.now + wait}
 	if l.c.SessionsCarried && wrote > 0 && l.c.Tariffs[t].Need == Session {
--- a/balance/state.go
+++ b/balance/state.go
@@ -20,14 +20,14 @@
 }
 
 type job struct {
-	place                      Place
-	live, over, held, fallback bool // fallback: no replica is fresh enough
-	tariff, group, out         int32
-	session                    uint64
-	need                       int64 // position that a session read must see
-	taken, wanted              int64 // when it came in, and its contract time
-	limit, holdEnd             int64 // its hard limit, and until when it may be held
-	trips                      []trip
+	place                             Place
+	live, over, held, fallback, asked bool // fallback: no replica is fresh enough
+	tariff, group, out                int32
+	session                           uint64
+	need                              int64 // position that a session read must see
+	taken, wanted                     int64 // when it came in, and its contract time
+	limit, holdEnd                    int64 // its hard limit, and until when it may be held
+	trips                             []trip
 }
 
 type node struct {
@@ -48,7 +48,8 @@
 	due, answers           float64 // answers due in a nanosecond, and answers so far
 	room                   room
 	queue, shown           float64 // jobs waiting, and trips held, by its last report
-	shownAt                int64
+	shownAt, answered      int64   // when it showed that, and when a probe of this router's last came back
+	mark                   uint32
 	work                   float64 // sent; decays over the span of the cold rule
 	workAt                 int64
 }
--- a/balance/types.go
+++ b/balance/types.go
@@ -61,7 +61,9 @@
 	FallMultiple    float64
 	FallSpan        int64
 	LongestAbsence  int64 // that a bounced client can be asked for; 0: none
-	SessionsCarried bool  // session reads say how long ago their session wrote
+	RoutersTalk     bool
+	Me              int  // this router's number among those that may talk
+	SessionsCarried bool // session reads say how long ago their session wrote
 }
 
 // Standing is what the list says of a node.
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/base64"
+	"hash/crc32"
 	"math"
 	"strconv"
 
@@ -50,6 +51,8 @@
 		FallMultiple:   number(rules, "fallMultiple", 1),
 		FallSpan:       whole(rules, "fallUs", false) * 1000,
 
+		RoutersTalk:     flag(limits, "peers"),
+		Me:              int(whole(f, "me", false)),
 		SessionsCarried: str(kind, "tokenMode", false) == "brought",
 	}
 	if flag(limits, "retryAfter") {
@@ -126,8 +129,8 @@
 		if n == len(h.names) {
 			h.names = append(h.names, w.node)
 		}
-		h.router.Member(h.now, n, index(h.groups, w.group), index(h.zones, w.zone), w.standing, w.weight, w.launched,
-			w.primary)
+		h.router.Member(h.now, n, index(h.groups, w.group), index(h.zones, w.zone), crc32.ChecksumIEEE([]byte(w.node)),
+			w.standing, w.weight, w.launched, w.primary)
 	}
 	h.router.Listed(h.now)
 }
@@ -192,6 +195,14 @@
 		note, h.report(e))
 }
 
+func (h *host) heard(e *fastjson.Value) {
+	words, err := base64.StdEncoding.DecodeString(str(e, "content", false))
+	if err != nil {
+		fail("content: %v", err)
+	}
+	h.router.Heard(h.now, int(whole(e, "src", false)), words)
+}
+
 func (h *host) report(e *fastjson.Value) balance.Report {
 	v := field(e, "report")
 	if v == nil {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -199,7 +199,9 @@
 			fail("node %q was never listed", str(e, "node", true))
 		}
 		h.router.Probed(h.now, n, whole(e, "rc", false) == 0, h.report(e))
-	case "OPENED", "NEIGHBOUR_SAYS": // no streams here, and routers don't talk
+	case "NEIGHBOUR_SAYS":
+		h.heard(e)
+	case "OPENED": // no streams here
 		str(e, "op", true)
 	default:
 		fail("no such event")
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -42,12 +42,13 @@
 	replies, err := serve(t, `{"nowUs":1,"groups":[]}`+"\n",
 		line("2000000", provision+","+list("0", primary+","+replica)),
 		line("2005000", read+","+write),
-		line("2010000", `{"op":"FINISHED","job":77,"leg":0,"node":"a:1","rc":1,"posRole":2,"latencyUs":900}`))
-	if err != nil || len(replies) != 4 {
+		line("2045000", `{"op":"TICK_DUE","nonce":1}`),
+		line("2050000", `{"op":"FINISHED","job":77,"leg":0,"node":"a:1","rc":1,"posRole":2,"latencyUs":900}`))
+	if err != nil || len(replies) != 5 {
 		t.Fatal(err, replies)
 	}
 	for i, part := range []string{`{"groups":[]}`, `{"op":"SET_ALARM",`,
-		`{"op":"PING","node":"b:2"},{"op":"SUBMIT_TO","job":2196318990275012,"node":"b:2","tryUntilUs":2505000}`,
+		`{"op":"PING","node":"b:2"}`, `{"op":"SUBMIT_TO","job":2196318990275012,"node":"b:2","tryUntilUs":2505000}`,
 		`{"op":"SUBMIT_TO","job":77,"node":"b:2","tryUntilUs":2505000}`} {
 		if !strings.Contains(replies[i], part) {
 			t.Errorf("reply %d lacks %s: %s", i, part, replies[i])
@@ -74,7 +75,7 @@
 func TestDownAndUp(t *testing.T) {
 	replies, err := serve(t, line("2000000", provision+","+list("0", primary)+","+write+`,{"op":"DOWN"},`+provision+","+
 		list("1", replica)+","+list("0", replica)), line("2005000", read),
-		line("2010000", `{"op":"FINISHED","job":77,"leg":0,"node":"a:1","rc":253}`))
+		line("2050000", `{"op":"FINISHED","job":77,"leg":0,"node":"a:1","rc":253}`))
 	if err != nil {
 		t.Fatal(err)
 	}
