--- a/balance/balance.go
+++ b/balance/balance.go
@@ -14,7 +14,6 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"math"
 	"slices"
 )
@@ -42,35 +41,6 @@
 
 var opened = room{size: firstRoom, opening: true}
 
-// Router is one router's decisions.
-type Router struct {
-	out                                    Outside
-	chance                                 chance
-	tariffs                                []tariff
-	nodes                                  []node
-	groups                                 []group
-	jobs                                   []job
-	free, waiting                          []Place
-	maxTrips, word                         int
-	second, probes, check, asking, carried bool
-	whole                                  bool  // the list being told is whole
-	sweep, refresh, useful, away, age      int64 // age: of reports, on average
-	asideFor, grace, coldFor, span         int64
-	startShare, perSpan                    float64
-	dearest                                float64 // most earnings for work of any read
-	peers, speaking                        bool
-	me                                     int
-	marks                                  map[uint32][]int32
-	period, speakAt, tellAt, toldAt        int64
-	shared                                 room             // of all nodes, for want of better
-	fade                                   int64            // how long what a node shows counts
-	borne                                  float64          // work sent over the span to a warm node
-	purse                                  float64          // probes that may be sent
-	watchAt, backoff, leastBackoff         int64            // of asking for the list
-	young, old                             map[uint64]int64 // positions of sessions' last writes
-	floor                                  int64            // that of the sessions forgotten
-}
-
 // Open starts a router.
 func Open(c *Contract, seed uint64, out Outside, now int64) *Router {
 	r := &Router{out: out, chance: chance(seed&0x7fffffffffff | 1<<32 | 1), maxTrips: c.MaxTrips,
@@ -103,56 +73,10 @@
 	r.listen(now)
 	r.backoff = r.leastBackoff
 	r.watchAt = now + r.chance.below(r.leastBackoff)
-	r.appraise()
 	out.Alarm(r.sweep)
 	return r
 }
 
-// Listing begins a word from the list; Member and Listed follow.
-func (r *Router) Listing(whole bool) {
-	r.whole = whole
-	r.word++
-}
-
-// Member tells of one node. Nodes and groups are numbered from 0 in the order of their first naming.
-func (r *Router) Member(now int64, n, g, zone int, mark uint32, s Standing, weight float64, started int64,
-	primary bool) {
-	for len(r.nodes) <= n {
-		r.nodes = append(r.nodes, node{self: int32(len(r.nodes)), group: -1, room: opened, queue: -1})
-	}
-	m := &r.nodes[n]
-	if m.mark = mark; !slices.Contains(r.marks[mark], int32(n)) {
-		r.marks[mark] = append(r.marks[mark], int32(n))
-	}
-	if into := r.group(g); m.group != int32(g) {
-		if m.group >= 0 {
-			old := r.group(int(m.group))
-			old.members = slices.DeleteFunc(old.members, func(k int32) bool { return k == int32(n) })
-		}
-		m.group = int32(g)
-		into.members = append(into.members, int32(n))
-	}
-	if s != In && m.standing == In {
-		m.told = now
-	}
-	m.started = max(m.started, started)
-	m.standing, m.zone, m.weight, m.listed, m.word = s, int32(zone), max(weight, 1e-6), primary, r.word
-}
-
-// Listed ends a word from the list. A node absent from a whole list has left.
-func (r *Router) Listed(now int64) {
-	for i := range r.nodes {
-		m := &r.nodes[i]
-		if r.whole && m.word != r.word {
-			if m.standing == In {
-				m.told = now
-			}
-			m.standing = Gone
-		}
-	}
-	r.backoff = r.leastBackoff
-}
-
 // ListFailed tells that asking for the list failed, or that the watch broke. The next try comes later
 // each time and at a random moment, so that routers that start or fail together don't ask together.
 func (r *Router) ListFailed(now int64) {
@@ -198,29 +122,6 @@
 	r.place(j, now)
 }
 
-// lastWrite is the position that the session must see; one forgotten needs what the latest forgotten one
-// did.
-func (r *Router) lastWrite(session uint64) int64 {
-	if at, ok := r.young[session]; ok {
-		return at
-	}
-	if at, ok := r.old[session]; ok {
-		return at
-	}
-	return r.floor
-}
-
-func (r *Router) remember(session uint64, at int64) {
-	if len(r.young) >= sessionsKept {
-		for _, p := range r.old {
-			r.floor = max(r.floor, p)
-		}
-		r.old, r.young = r.young, r.old
-		clear(r.young)
-	}
-	r.young[session] = max(at, r.lastWrite(session))
-}
-
 // place sends a job on, holds it or ends it. One that can earn nothing any more isn't sent.
 func (r *Router) place(j *job, now int64) {
 	t := &r.tariffs[j.tariff]
@@ -229,12 +130,16 @@
 		r.giveUp(j, now, 0)
 		return
 	}
-	if r.sparse() && now-r.toldAt >= 2*r.period && len(j.trips) == 0 && now < j.taken+2*r.sweep {
-		if !j.asked {
-			j.asked = true
-			r.sound(j, now)
+	// A job waits a moment for news that is on its way: of the load of two members, where the router knows
+	// little and nobody tells it; and of positions, where no replica is known fresh enough. Else routers
+	// with few jobs, or all that start together, crowd some nodes and above all the primaries.
+	soon := now < j.taken+2*r.sweep
+	if soon && len(j.trips) == 0 && r.sparse() && now-r.toldAt >= 2*r.period {
+		two := 2
+		if j.asked {
+			two = 0
 		}
-		if slices.ContainsFunc(r.groups[j.group].members, func(n int32) bool { return r.nodes[n].probing }) {
+		if j.asked = true; r.ask(j, two, r.fade/4, now) {
 			j.held = true
 			return
 		}
@@ -249,9 +154,7 @@
 		if fresh {
 			return
 		}
-		// A read for which no replica is known fresh enough waits a moment for news that is on its way, lest
-		// many routers with few jobs, who seldom know, or all that start together, crowd the primaries.
-		if now < j.taken+2*r.sweep && r.asked(j.group, now) {
+		if soon && r.ask(j, len(r.nodes), 4*r.sweep, now) {
 			j.held = true
 			return
 		}
@@ -260,34 +163,18 @@
 	r.toPrimary(j, now)
 }
 
-// sound asks two members that the job may go to, taken at random, for their load.
-func (r *Router) sound(j *job, now int64) {
-	members := r.groups[j.group].members
-	if len(members) == 0 {
-		return
-	}
-	primary, two := r.primary(j.group, now), 0
-	if r.tariffs[j.tariff].Need >= Fresh {
-		if primary >= 0 {
-			r.again(primary, r.fade/4, now)
-		}
-		return
-	}
-	for k, at := 0, int(r.chance.below(int64(len(members)))); k < len(members) && two < 2; k++ {
-		if n := members[(at+k)%len(members)]; n != primary {
-			two++
-			r.again(n, r.fade/4, now)
-		}
-	}
-}
-
-// asked probes the replicas of a group, as far as the purse goes, and tells whether any news is due.
-func (r *Router) asked(g int32, now int64) (due bool) {
-	for _, n := range r.groups[g].members {
-		if m := &r.nodes[n]; m.role != Primary {
-			r.again(n, 4*r.sweep, now)
-			due = due || m.probing
+// ask probes members that the job may go to, so many at most from a random one on and as far as the purse
+// goes, and tells whether any news of the group is due.
+func (r *Router) ask(j *job, most int, quiet, now int64) (due bool) {
+	members, primary := r.groups[j.group].members, r.primary(j.group, now)
+	at := int(r.chance.below(int64(len(members))))
+	for k := range members {
+		n := members[(at+k)%len(members)]
+		if most > 0 && (n != primary) == (r.tariffs[j.tariff].Need < Fresh) {
+			most--
+			r.again(n, quiet, now)
 		}
+		due = due || r.nodes[n].probing
 	}
 	return due
 }
@@ -311,7 +198,7 @@
 		}
 		fresh = true
 		laggard := t.Need == Any && m.lag > r.useful
-		if !r.fits(m, j, r.rank(t, laggard), now) {
+		if !r.fits(m, j, 1, now) {
 			continue
 		}
 		score := m.weight * r.warmth(m, now) / (r.one() + r.crowd(m, now))
@@ -351,26 +238,6 @@
 // sparse tells whether the router has so few trips out at a node, on average, that they tell little.
 func (r *Router) sparse() bool { return r.borne < tells*float64(r.span) }
 
-// rank is the part of a replica's room that a tariff may fill: the whole for the one that earns most for
-// its work, less for others, so that overload bounces what earns least. Of a laggard, reads that any
-// member may answer compete with none. Harms the worst-served tariff where earnings for work differ much,
-// hence never under half.
-func (r *Router) rank(t *tariff, laggard bool) float64 {
-	if laggard {
-		return 1
-	}
-	return spare + (1-spare)*min(1, t.Earnings/t.usual/r.dearest)
-}
-
-func (r *Router) appraise() {
-	r.dearest = 0
-	for i := range r.tariffs {
-		if t := &r.tariffs[i]; t.Need < Fresh {
-			r.dearest = max(r.dearest, t.Earnings/t.usual)
-		}
-	}
-}
-
 // fits tells whether the node can hold one more, of the given part of its room. A second trip takes only
 // spare room. A client that waits for less than the contract time gets room by what it waits: the node's
 // other trips would take too long for it, and its repeats would crowd out patient ones. Harms no one who
@@ -759,21 +626,18 @@
 		}
 	} else if r.speaking && r.tellAt > 0 && now >= r.tellAt {
 		r.tellAt = 0
-		words := binary.BigEndian.AppendUint64(nil, uint64(now))
+		words := heading(now)
 		for i := range r.nodes {
 			m := &r.nodes[i]
 			if m.answered < now-r.period || m.position == 0 {
 				continue
 			}
-			words = binary.BigEndian.AppendUint32(words, m.mark)
-			words = binary.BigEndian.AppendUint16(words, uint16(min((now-m.position)/1e6+1, 1<<16-1)))
-			words = append(words, byte(m.role)<<6|byte(min(m.shown, 1<<6-1)))
-			if len(words)+7 > 256 {
+			if words = appendNews(words, now, m); len(words)+newsLen > mostWords {
 				r.out.Tell(-1, words)
-				words = words[:8]
+				words = words[:headingLen]
 			}
 		}
-		if len(words) > 8 {
+		if len(words) > headingLen {
 			r.out.Tell(-1, words)
 		}
 	}
@@ -785,16 +649,12 @@
 	if !r.speaking || from < r.me {
 		r.listen(now)
 	}
-	if len(words) < 8 {
-		return
-	}
-	at := int64(binary.BigEndian.Uint64(words))
-	for words = words[8:]; len(words) >= 7; words = words[7:] {
-		named, age := r.marks[binary.BigEndian.Uint32(words)], binary.BigEndian.Uint16(words[4:])
-		if len(named) == 1 && at <= now && age < 1<<16-1 {
+	for at, rest := beheaded(words); len(rest) >= newsLen && at <= now; rest = rest[newsLen:] {
+		mark, news := newsIn(rest, at)
+		if named := r.marks[mark]; len(named) == 1 && news.Given {
 			m := &r.nodes[named[0]]
-			r.reported(m, now, Report{Given: true, Position: at - int64(age)*1e6, Role: Role(words[6] >> 6),
-				Queue: m.queue, Held: float64(words[6] & 63)})
+			news.Queue = m.queue
+			r.reported(m, now, news)
 		}
 	}
 }
@@ -824,7 +684,6 @@
 		r.out.Watch()
 	}
 	r.speak(now)
-	r.appraise()
 	sum, warm := 0.0, 0.0
 	for i := range r.nodes {
 		m := &r.nodes[i]
--- a/balance/state.go
+++ b/balance/state.go
@@ -5,6 +5,34 @@
 	"slices"
 )
 
+// Router is one router's decisions.
+type Router struct {
+	out                                    Outside
+	chance                                 chance
+	tariffs                                []tariff
+	nodes                                  []node
+	groups                                 []group
+	jobs                                   []job
+	free, waiting                          []Place
+	maxTrips, word                         int
+	second, probes, check, asking, carried bool
+	whole                                  bool  // the list being told is whole
+	sweep, refresh, useful, away, age      int64 // age: of reports, on average
+	asideFor, grace, coldFor, span         int64
+	startShare, perSpan                    float64
+	peers, speaking                        bool
+	me                                     int
+	marks                                  map[uint32][]int32
+	period, speakAt, tellAt, toldAt        int64
+	shared                                 room             // of all nodes, for want of better
+	fade                                   int64            // how long what a node shows counts
+	borne                                  float64          // work sent over the span to a warm node
+	purse                                  float64          // probes that may be sent
+	watchAt, backoff, leastBackoff         int64            // of asking for the list
+	young, old                             map[uint64]int64 // positions of sessions' last writes
+	floor                                  int64            // that of the sessions forgotten
+}
+
 // A step says what to do next with a job once a trip of it has ended.
 type step func(r *Router, j *job, e Ending, now int64)
 
@@ -126,3 +154,71 @@
 		m.workAt = now
 	}
 }
+
+// Listing begins a word from the list; Member and Listed follow.
+func (r *Router) Listing(whole bool) {
+	r.whole = whole
+	r.word++
+}
+
+// Member tells of one node. Nodes and groups are numbered from 0 in the order of their first naming.
+func (r *Router) Member(now int64, n, g, zone int, mark uint32, s Standing, weight float64, started int64,
+	primary bool) {
+	for len(r.nodes) <= n {
+		r.nodes = append(r.nodes, node{self: int32(len(r.nodes)), group: -1, room: opened, queue: -1})
+	}
+	m := &r.nodes[n]
+	if m.mark = mark; !slices.Contains(r.marks[mark], int32(n)) {
+		r.marks[mark] = append(r.marks[mark], int32(n))
+	}
+	if into := r.group(g); m.group != int32(g) {
+		if m.group >= 0 {
+			old := r.group(int(m.group))
+			old.members = slices.DeleteFunc(old.members, func(k int32) bool { return k == int32(n) })
+		}
+		m.group = int32(g)
+		into.members = append(into.members, int32(n))
+	}
+	if s != In && m.standing == In {
+		m.told = now
+	}
+	m.started = max(m.started, started)
+	m.standing, m.zone, m.weight, m.listed, m.word = s, int32(zone), max(weight, 1e-6), primary, r.word
+}
+
+// Listed ends a word from the list. A node absent from a whole list has left.
+func (r *Router) Listed(now int64) {
+	for i := range r.nodes {
+		m := &r.nodes[i]
+		if r.whole && m.word != r.word {
+			if m.standing == In {
+				m.told = now
+			}
+			m.standing = Gone
+		}
+	}
+	r.backoff = r.leastBackoff
+}
+
+// lastWrite is the position that the session must see; one forgotten needs what the latest forgotten one
+// did.
+func (r *Router) lastWrite(session uint64) int64 {
+	if at, ok := r.young[session]; ok {
+		return at
+	}
+	if at, ok := r.old[session]; ok {
+		return at
+	}
+	return r.floor
+}
+
+func (r *Router) remember(session uint64, at int64) {
+	if len(r.young) >= sessionsKept {
+		for _, p := range r.old {
+			r.floor = max(r.floor, p)
+		}
+		r.old, r.young = r.young, r.old
+		clear(r.young)
+	}
+	r.young[session] = max(at, r.lastWrite(session))
+}
