A router with many trips earns a quarter of a probe a job again

Cause: two probes a job, right for routers with few jobs, were spent in vain by busy ones while all replicas lag.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -110,7 +110,11 @@
 // wrote, 0 for never, where sessions carry that.
 func (r *Router) Take(now int64, p Place, t, g int, session uint64, wait, wrote int64) {
 	j := &r.jobs[p]
-	r.purse = min(r.purse+probing, float64(len(r.group(g).members)))
+	earned := probing
+	if !r.sparse() {
+		earned = spare * spare
+	}
+	r.purse = min(r.purse+earned, float64(len(r.group(g).members)))
 	*j = job{place: p, live: true, tariff: int32(t), group: int32(g), session: session, limit: now + wait, taken: now,
 		wanted: now + min(wait, r.tariffs[t].ContractTime), holdEnd: now + int64(holdShare*float64(wait)),
 		trips: j.trips[:0]}
