Where draining alone binds, a node called gone without it stays open

The contract read at start decides, not the site; elsewhere the grace binds as before. It harms by trips to nodes that are gone indeed, which fail at once and are set aside.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -48,7 +48,7 @@
 		carried: c.SessionsCarried, asideFor: 4 * c.ConnectTimeout, grace: c.DrainGrace / 2,
 		coldFor: c.ColdFor, span: max(c.FallSpan, 1), startShare: c.StartShare,
 		perSpan: coldPart * c.FallMultiple, away: c.LongestAbsence, leastBackoff: c.AskEvery / 20,
-		peers: c.RoutersTalk, me: c.Me, marks: map[uint32][]int32{},
+		goneMayServe: c.GoneMayServe, peers: c.RoutersTalk, me: c.Me, marks: map[uint32][]int32{},
 		young: map[uint64]int64{}, old: map[uint64]int64{}}
 	shortest, best, bound := int64(math.MaxInt64), 0.0, int64(math.MaxInt64)
 	for _, t := range c.Tariffs {
@@ -100,7 +100,7 @@
 	if now-r.toldAt < 2*r.period {
 		quiet = max(quiet, 2*r.period)
 	}
-	if r.purse >= 1 && now-m.shownAt >= quiet && now-m.probed >= quiet && now >= m.aside && m.standing == In {
+	if r.purse >= 1 && now-m.shownAt >= quiet && now-m.probed >= quiet && now >= m.aside && r.open(m) {
 		r.purse--
 		r.probe(n, now)
 	}
@@ -191,7 +191,7 @@
 	top, ties, primary := 0.0, int64(0), r.primary(j.group, now)
 	for _, n := range r.groups[j.group].members {
 		m := &r.nodes[n]
-		if m.probed == 0 && m.standing == In { // the design's first probe, when a job first asks for the group
+		if m.probed == 0 && r.open(m) { // the design's first probe, when a job first asks for the group
 			r.probe(n, now)
 		} else if n != primary && t.Need != Any {
 			r.again(n, r.refresh, now)
@@ -290,10 +290,16 @@
 		r.check && m.heardOf > m.missed && now-m.lag >= need
 }
 
+// open tells whether the list leaves a node open to new work. Where draining alone binds, one called gone
+// without it is: guards against lists that lose nodes which serve. Its trips tell if it is gone indeed.
+func (r *Router) open(m *node) bool {
+	return m.standing == In || r.goneMayServe && m.standing == Gone && !m.drained
+}
+
 // usable tells whether a node may be sent anything new. After failures it proves itself by one trip at a
 // time.
 func (r *Router) usable(m *node, now int64) bool {
-	return m.standing == In && now >= m.aside && (m.failures < distrust || m.held == 0)
+	return r.open(m) && now >= m.aside && (m.failures < distrust || m.held == 0)
 }
 
 // primary is the member whose latest evidence says so, else the one listed if nothing speaks against it,
@@ -302,7 +308,7 @@
 	best, at := int32(-1), int64(-1)
 	for _, n := range r.groups[g].members {
 		m := &r.nodes[n]
-		if m.standing != In && now > m.told+r.grace {
+		if !r.open(m) && now > m.told+r.grace {
 			continue
 		}
 		if m.role == Primary && m.roleAt > at {
@@ -624,7 +630,7 @@
 	if now >= r.speakAt {
 		r.speaking, r.speakAt, r.tellAt, r.toldAt = true, now+r.period, now+2*r.sweep, now
 		for i := range r.nodes {
-			if m := &r.nodes[i]; m.standing == In && m.group >= 0 {
+			if m := &r.nodes[i]; r.open(m) && m.group >= 0 {
 				r.probe(int32(i), now)
 			}
 		}
@@ -700,7 +706,7 @@
 		if m.held > 0 && now >= m.aside && float64(now-m.heard)*m.due > patience {
 			r.failed(m, now, distrust)
 		}
-		if m.standing != In || m.group < 0 {
+		if !r.open(m) || m.group < 0 {
 			continue
 		}
 		if r.warmth(m, now) >= 1 {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -113,6 +113,7 @@
 		c := shop()
 		c.DrainGrace = 30 * ms // short, as is the window, so that generated days outlast them
 		c.NodesCheck = rapid.Bool().Draw(t, "check")
+		c.GoneMayServe = rapid.Bool().Draw(t, "gone")
 		c.SecondTrips = rapid.Bool().Draw(t, "second")
 		c.MaxTrips = rapid.IntRange(1, 6).Draw(t, "trips")
 		for i := range c.Tariffs {
@@ -451,6 +452,23 @@
 	}
 }
 
+// Guards against a list that loses nodes which serve: where draining alone binds they go on, elsewhere not.
+func TestListedGone(t *testing.T) {
+	for _, binds := range []bool{true, false} {
+		c := shop()
+		c.GoneMayServe = !binds
+		l := trio(c, 0, 0)
+		l.list(node{listed: true}, node{standing: Gone}, node{standing: Gone})
+		l.list(node{listed: true}, node{standing: Gone}, node{standing: Draining})
+		l.list(node{listed: true}, node{standing: Gone}, node{standing: Gone})
+		l.take(int(Any), 0, 0, 1000*ms, 0)
+		l.take(int(Any), 0, 0, 1000*ms, 0)
+		if to := l.open(); binds == slices.Contains(to, 1) || slices.Contains(to, 2) {
+			t.Fatal(to, binds)
+		}
+	}
+}
+
 // Guards against stale reads of sessions that were forgotten.
 func TestForgottenSessionsStaySafe(t *testing.T) {
 	c := shop()
--- a/balance/state.go
+++ b/balance/state.go
@@ -20,7 +20,7 @@
 	sweep, refresh, useful, away, age      int64 // age: of reports, on average
 	asideFor, grace, coldFor, span         int64
 	startShare, perSpan                    float64
-	peers, speaking                        bool
+	peers, speaking, goneMayServe          bool
 	me                                     int
 	marks                                  map[uint32][]int32
 	period, speakAt, tellAt, toldAt        int64
@@ -59,27 +59,27 @@
 }
 
 type node struct {
-	self, group, zone      int32
-	standing               Standing
-	role                   Role
-	weight                 float64
-	listed                 bool  // as primary
-	word                   int   // of the list that last named it
-	told, started          int64 // when it was said to leave, and when it started (0: long ago)
-	position, heardOf, lag int64 // a lower bound, when it was last told, and how far behind then
-	roleAt, missed         int64 // when its role was true, and when it last turned a read away
-	heard                  int64 // when it last answered, or the oldest of its trips left
-	aside, probed          int64 // until when, and when last
-	unreached, probing     bool
-	failures               int     // in a row
-	held, ghosts           float64 // trips, and work that may go on though its trip has ended here
-	due, answers           float64 // answers due in a nanosecond, and answers so far
-	room                   room
-	queue, shown           float64 // jobs waiting, and trips held, by its last report
-	shownAt, answered      int64   // when it showed that, and when a probe of this router's last came back
-	mark                   uint32
-	work                   float64 // sent; decays over the span of the cold rule
-	workAt                 int64
+	self, group, zone           int32
+	standing                    Standing
+	role                        Role
+	weight                      float64
+	listed                      bool  // as primary
+	word                        int   // of the list that last named it
+	told, started               int64 // when it was said to leave, and when it started (0: long ago)
+	position, heardOf, lag      int64 // a lower bound, when it was last told, and how far behind then
+	roleAt, missed              int64 // when its role was true, and when it last turned a read away
+	heard                       int64 // when it last answered, or the oldest of its trips left
+	aside, probed               int64 // until when, and when last
+	unreached, probing, drained bool
+	failures                    int     // in a row
+	held, ghosts                float64 // trips, and work that may go on though its trip has ended here
+	due, answers                float64 // answers due in a nanosecond, and answers so far
+	room                        room
+	queue, shown                float64 // jobs waiting, and trips held, by its last report
+	shownAt, answered           int64   // when it showed that, and when a probe of this router's last came back
+	mark                        uint32
+	work                        float64 // sent; decays over the span of the cold rule
+	workAt                      int64
 }
 
 // room is how many trips a node can hold in good time.
@@ -183,6 +183,7 @@
 		m.told = now
 	}
 	m.started = max(m.started, started)
+	m.drained = s == Draining || s == Gone && m.drained
 	m.standing, m.zone, m.weight, m.listed, m.word = s, int32(zone), max(weight, 1e-6), primary, r.word
 }
 
--- a/balance/types.go
+++ b/balance/types.go
@@ -61,6 +61,7 @@
 	FallMultiple    float64
 	FallSpan        int64
 	LongestAbsence  int64 // that a bounced client can be asked for; 0: none
+	GoneMayServe    bool  // only draining binds: a node said to be gone without it may be sent to
 	RoutersTalk     bool
 	Me              int  // this router's number among those that may talk
 	SessionsCarried bool // session reads say how long ago their session wrote
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -51,6 +51,7 @@
 		FallMultiple:   number(rules, "fallMultiple", 1),
 		FallSpan:       whole(rules, "fallUs", false) * 1000,
 
+		GoneMayServe:    flag(rules, "softRemoval"),
 		RoutersTalk:     flag(limits, "peers"),
 		Me:              int(whole(f, "me", false)),
 		SessionsCarried: str(kind, "tokenMode", false) == "brought",
