One full node shows itself full and leaves the room of all as it is

Cause: where the room is shared, each trip turned away as full shrank it towards what that node had last shown, often nothing.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -480,8 +480,12 @@
 			m.missed = now
 		}
 	case Full:
-		full := r.roomOf(m)
-		full.size = max(1, full.size+quick*(k.crowd-full.size))
+		// Where the room is that of all nodes, one full node says nothing of it, but shows itself full.
+		if r.sparse() {
+			m.shown, m.shownAt = mostRoom, now
+		} else {
+			m.room.size = max(1, m.room.size+quick*(k.crowd-m.room.size))
+		}
 	case Unreachable, Broken, Failed:
 		// One of these is no outage: guards against links that break now and then. Several in a row are.
 		r.failed(m, now, 1)
