A quarter of a probe a job while another router tells the news

Cause: under failing probes news grows old whoever asks, and each router spent two probes a job in vain.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -97,7 +97,7 @@
 // are; a router with much traffic always has some left. It harms where news gets old between jobs.
 func (r *Router) again(n int32, quiet, now int64) {
 	m := &r.nodes[n]
-	if now-r.toldAt < 2*r.period {
+	if r.isTold(now) {
 		quiet = max(quiet, 2*r.period)
 	}
 	if r.purse >= 1 && now-m.shownAt >= quiet && now-m.probed >= quiet && now >= m.aside && r.open(m) {
@@ -111,7 +111,7 @@
 func (r *Router) Take(now int64, p Place, t, g int, session uint64, wait, wrote int64) {
 	j := &r.jobs[p]
 	earned := probing
-	if !r.sparse() {
+	if !r.sparse() || r.isTold(now) {
 		earned = spare * spare
 	}
 	r.purse = min(r.purse+earned, float64(len(r.group(g).members)))
@@ -138,7 +138,7 @@
 	// little and nobody tells it; and of positions, where no replica is known fresh enough. Else routers
 	// with few jobs, or all that start together, crowd some nodes and above all the primaries.
 	soon := now < j.taken+2*r.sweep
-	if soon && len(j.trips) == 0 && r.sparse() && now-r.toldAt >= 2*r.period {
+	if soon && len(j.trips) == 0 && r.sparse() && !r.isTold(now) {
 		two := 2
 		if j.asked {
 			two = 0
@@ -657,6 +657,9 @@
 	}
 }
 
+// isTold tells whether any router, this or another, has told news lately.
+func (r *Router) isTold(now int64) bool { return r.toldAt > 0 && now-r.toldAt < 2*r.period }
+
 // Heard takes in what another router tells. It only ever is news of nodes that the own list has named.
 func (r *Router) Heard(now int64, from int, words []byte) {
 	r.toldAt = now
