Long reads go to laggards also at routers with few jobs, where the lags are told

Evidence: the bounces stood at the primaries, but began before any trouble and with replicas at normal times; replicas' positions stood still for a second at a time.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -214,8 +214,8 @@
 		// costs least. Guards against replicas lagging all in turn, whatever holds them up. It harms if
 		// the laggard is slow as well: hence only until its answers take half their contract time, and
 		// for reads too short to hold a replica up only into spare room.
-		if laggard && !r.sparse() && m.room.strain < ease &&
-			(t.usual > float64(r.useful) || r.fits(m, j, spare, now)) {
+		long := t.usual > float64(r.useful)
+		if laggard && m.room.strain < ease && (long && r.isTold(now) || !r.sparse() && (long || r.fits(m, j, spare, now))) {
 			score += float64(m.lag)
 		}
 		if score > top {
