Long reads to laggards only while their cores are not all busy

Cause: a laggard with many long reads shows no queue, as each core works on several at once; its busy cores tell.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -27,13 +27,14 @@
 	tooLate      = 3 * ease // what a trip counts as that is late and not answered
 	quick        = 1.0 / 8  // weight of a new figure in a running mean
 	slow         = quick / 4
-	missing      = 24      // answers that were due from a node and didn't come, for it to be set aside
-	distrust     = 3       // failures in a row, or answers missing from a node last set aside, for the same
-	passes       = 2       // a trip that its node has passed over so many times is overdue
-	coldPart     = 0.7     // of what pushes a cold node over that all routers together may send it
-	sweeps       = 16      // in the shortest contract time
-	holdShare    = 0.2     // of a job's time for which it may be held
-	spare        = 0.5     // part of the room that second trips and reads strange to a primary may fill
+	missing      = 24  // answers that were due from a node and didn't come, for it to be set aside
+	distrust     = 3   // failures in a row, or answers missing from a node last set aside, for the same
+	passes       = 2   // a trip that its node has passed over so many times is overdue
+	coldPart     = 0.7 // of what pushes a cold node over that all routers together may send it
+	sweeps       = 16  // in the shortest contract time
+	holdShare    = 0.2 // of a job's time for which it may be held
+	spare        = 0.5 // part of the room that second trips and reads strange to a primary may fill
+	calm         = 0.9
 	tells        = 1.0 / 8 // trips of this router at a node, on average, for its own counts to tell much
 	probing      = 2.0     // probes for a job, when many routers share the traffic
 	sessionsKept = 1 << 16 // sessions whose last write is known, twice over
@@ -215,7 +216,7 @@
 		// the laggard is slow as well: hence only until its answers take half their contract time, and
 		// for reads too short to hold a replica up only into spare room.
 		long := t.usual > float64(r.useful)
-		if laggard && m.room.strain < ease && (long && r.isTold(now) || !r.sparse() && (long || r.fits(m, j, spare, now))) {
+		if laggard && m.room.strain < ease && (long && r.isTold(now) && m.busy < calm || !r.sparse() && (long || r.fits(m, j, spare, now))) {
 			score += float64(m.lag)
 		}
 		if score > top {
@@ -572,7 +573,7 @@
 		return
 	}
 	m.noted(now, rep.Role, rep.Position, rep.Position)
-	m.queue = rep.Queue
+	m.queue, m.busy = rep.Queue, rep.Busy
 	switch { // trips held, or waiting, or as many as keep a queue so busy on average
 	case rep.Held >= 0:
 		m.shown = rep.Held
--- a/balance/state.go
+++ b/balance/state.go
@@ -75,7 +75,7 @@
 	held, ghosts                float64 // trips, and work that may go on though its trip has ended here
 	due, answers                float64 // answers due in a nanosecond, and answers so far
 	room                        room
-	queue, shown                float64 // jobs waiting, and trips held, by its last report
+	busy, queue, shown          float64 // jobs waiting, and trips held, by its last report
 	shownAt, answered           int64   // when it showed that, and when a probe of this router's last came back
 	mark                        uint32
 	work                        float64 // sent; decays over the span of the cold rule
--- a/balance/words.go
+++ b/balance/words.go
@@ -3,13 +3,14 @@
 import "encoding/binary"
 
 // What routers tell each other: the time, then of some nodes their mark, the age of their position in
-// milliseconds rounded up, their role and the trips that they hold.
+// milliseconds rounded up, their role, the trips that they hold and how busy they are.
 const (
 	headingLen = 8
-	newsLen    = 7
+	newsLen    = 8
 	mostWords  = 256
 	oldest     = 1<<16 - 1
 	mostHeld   = 1<<6 - 1
+	allBusy    = 1<<8 - 1
 )
 
 func heading(now int64) []byte { return binary.BigEndian.AppendUint64(nil, uint64(now)) }
@@ -17,7 +18,7 @@
 func appendNews(words []byte, now int64, m *node) []byte {
 	words = binary.BigEndian.AppendUint32(words, m.mark)
 	words = binary.BigEndian.AppendUint16(words, uint16(min((now-m.position)/1e6+1, oldest)))
-	return append(words, byte(m.role)<<6|byte(min(m.shown, mostHeld)))
+	return append(words, byte(m.role)<<6|byte(min(m.shown, mostHeld)), byte(min(m.busy, 1)*allBusy))
 }
 
 // beheaded is when the words were said, and what comes after that.
@@ -32,5 +33,6 @@
 func newsIn(words []byte, at int64) (mark uint32, rep Report) {
 	age := int64(binary.BigEndian.Uint16(words[4:]))
 	return binary.BigEndian.Uint32(words), Report{Given: age < oldest, Position: at - age*1e6,
-		Role: Role(words[6] >> 6), Queue: -1, Held: float64(words[6] & mostHeld)}
+		Role: Role(words[6] >> 6), Queue: -1, Held: float64(words[6] & mostHeld),
+		Busy: float64(words[7]) / allBusy}
 }
