--- a/balance/balance.go
+++ b/balance/balance.go
@@ -203,7 +203,8 @@
 		}
 		fresh = true
 		laggard := t.Need == Any && m.lag > r.useful
-		if !r.fits(m, j, 1, now) {
+		long := t.usual > float64(r.useful) && r.isTold(now) && m.busy < calm
+		if !(laggard && long && r.bears(m, t.usual, now)) && !r.fits(m, j, 1, now) {
 			continue
 		}
 		score := m.weight * r.warmth(m, now) / (r.one() + r.crowd(m, now))
@@ -215,8 +216,8 @@
 		// costs least. Guards against replicas lagging all in turn, whatever holds them up. It harms if
 		// the laggard is slow as well: hence only until its answers take half their contract time, and
 		// for reads too short to hold a replica up only into spare room.
-		long := t.usual > float64(r.useful)
-		if laggard && m.room.strain < ease && (long && r.isTold(now) && m.busy < calm || !r.sparse() && (long || r.fits(m, j, spare, now))) {
+		if laggard && m.room.strain < ease && (long || !r.sparse() &&
+			(t.usual > float64(r.useful) || r.fits(m, j, spare, now))) {
 			score += float64(m.lag)
 		}
 		if score > top {
