--- a/balance/balance.go
+++ b/balance/balance.go
@@ -8,7 +8,7 @@
 //  2. setting aside: a node that fails, or whose answers fail to come, is left alone for a while.
 //  3. second trips: a job that waits in vain goes again, where there is room to spare.
 //  4. cold budget: a young node gets a share of what warm nodes bear.
-//  5. presumption: where nodes check reads themselves, a replica is presumed to hold the lag it last showed.
+//  5. news: one router tells the others, or a job asks first; where nodes check, lag is presumed to stay.
 //  6. laggards first: reads that any member may answer go to replicas too far behind to serve others.
 package balance
 
@@ -27,14 +27,14 @@
 	tooLate      = 3 * ease // what a trip counts as that is late and not answered
 	quick        = 1.0 / 8  // weight of a new figure in a running mean
 	slow         = quick / 4
-	missing      = 24  // answers that were due from a node and didn't come, for it to be set aside
-	distrust     = 3   // failures in a row, or answers missing from a node last set aside, for the same
-	passes       = 2   // a trip that its node has passed over so many times is overdue
-	coldPart     = 0.7 // of what pushes a cold node over that all routers together may send it
-	sweeps       = 16  // in the shortest contract time
-	holdShare    = 0.2 // of a job's time for which it may be held
-	spare        = 0.5 // part of the room that second trips and reads strange to a primary may fill
-	calm         = 0.9
+	missing      = 24      // answers that were due from a node and didn't come, for it to be set aside
+	distrust     = 3       // failures in a row, or answers missing from a node last set aside, for the same
+	passes       = 2       // a trip that its node has passed over so many times is overdue
+	coldPart     = 0.7     // of what pushes a cold node over that all routers together may send it
+	sweeps       = 16      // in the shortest contract time
+	holdShare    = 0.2     // of a job's time for which it may be held
+	spare        = 0.5     // part of the room that second trips and reads strange to a primary may fill
+	calm         = 0.9     // busy cores of a laggard that still gets long reads
 	tells        = 1.0 / 8 // trips of this router at a node, on average, for its own counts to tell much
 	probing      = 2.0     // probes for a job, when many routers share the traffic
 	sessionsKept = 1 << 16 // sessions whose last write is known, twice over
@@ -68,12 +68,9 @@
 	if r.useful = bound; bound == math.MaxInt64 {
 		r.useful = 2 * shortest
 	}
-	r.refresh = r.useful * 4 / 5
-	r.fade, r.shared = 2*shortest, opened
-	r.period = shortest
+	r.refresh, r.period, r.fade, r.shared = r.useful*4/5, shortest, 2*shortest, opened
 	r.listen(now)
-	r.backoff = r.leastBackoff
-	r.watchAt = now + r.chance.below(r.leastBackoff)
+	r.backoff, r.watchAt = r.leastBackoff, now+r.chance.below(r.leastBackoff)
 	out.Alarm(r.sweep)
 	return r
 }
@@ -93,9 +90,8 @@
 	}
 }
 
-// again probes a node of which nothing was heard for so long, for a job that would use the news. Probes
-// are paid for by jobs, so that all routers together don't probe more than they send, however many they
-// are; a router with much traffic always has some left. It harms where news gets old between jobs.
+// again probes a node not heard of for so long, for a job that would use the news. Jobs pay for probes, so
+// that they don't grow with the number of routers. It harms where news gets old between jobs.
 func (r *Router) again(n int32, quiet, now int64) {
 	m := &r.nodes[n]
 	if r.isTold(now) {
@@ -111,14 +107,13 @@
 // wrote, 0 for never, where sessions carry that.
 func (r *Router) Take(now int64, p Place, t, g int, session uint64, wait, wrote int64) {
 	j := &r.jobs[p]
-	earned := probing
-	if !r.sparse() || r.isTold(now) {
-		earned = spare * spare
-	}
-	r.purse = min(r.purse+earned, float64(len(r.group(g).members)))
-	*j = job{place: p, live: true, tariff: int32(t), group: int32(g), session: session, limit: now + wait, taken: now,
-		wanted: now + min(wait, r.tariffs[t].ContractTime), holdEnd: now + int64(holdShare*float64(wait)),
-		trips: j.trips[:0]}
+	if r.purse += probing; !r.sparse() || r.isTold(now) {
+		r.purse -= probing * (1 - quick)
+	}
+	r.purse = min(r.purse, float64(len(r.group(g).members)))
+	*j = job{place: p, live: true, tariff: int32(t), group: int32(g), session: session, trips: j.trips[:0],
+		taken: now, wanted: now + min(wait, r.tariffs[t].ContractTime), limit: now + wait,
+		holdEnd: now + int64(holdShare*float64(wait))}
 	if !r.carried {
 		j.need = r.lastWrite(session)
 	} else if wrote > 0 {
@@ -140,16 +135,10 @@
 	// with few jobs, or all that start together, crowd some nodes and above all the primaries.
 	soon := now < j.taken+2*r.sweep
 	if soon && len(j.trips) == 0 && r.sparse() && !r.isTold(now) {
-		two := 2
-		if j.asked {
-			two = 0
-		}
-		if j.asked = true; r.ask(j, two, r.fade/4, now) {
-			j.held = true
-			return
-		}
+		j.held = r.ask(j, 2-2*j.asked, r.fade/4, now)
+		j.asked = 1
 	}
-	if t.Need < Fresh {
+	if t.Need < Fresh && !j.held {
 		n, fresh := r.replica(j, now)
 		if n >= 0 {
 			r.send(j, n, now)
@@ -159,13 +148,12 @@
 		if fresh {
 			return
 		}
-		if soon && r.ask(j, len(r.nodes), 4*r.sweep, now) {
-			j.held = true
-			return
-		}
 		j.fallback = true
+		j.held = soon && r.ask(j, len(r.nodes), 4*r.sweep, now)
+	}
+	if !j.held {
+		r.toPrimary(j, now)
 	}
-	r.toPrimary(j, now)
 }
 
 // ask probes members that the job may go to, so many at most from a random one on and as far as the purse
@@ -197,7 +185,7 @@
 		} else if n != primary && t.Need != Any {
 			r.again(n, r.refresh, now)
 		}
-		if n == primary || m.role == Primary && m.roleAt > now-r.asideFor || !r.usable(m, now) ||
+		if n == primary || m.role == Primary && m.roleAt > now-r.asideFor || !r.open(m) || !m.trusted(now) ||
 			j.tried(n) || !r.holds(m, j, now) {
 			continue
 		}
@@ -208,9 +196,6 @@
 			continue
 		}
 		score := m.weight * r.warmth(m, now) / (r.one() + r.crowd(m, now))
-		if r.sparse() {
-			score *= min(1, ease/m.room.strain)
-		}
 		// Laggards first, the one furthest behind before the others: it serves none but these reads, so
 		// they leave the others free, and a long read that stops its node's apply stops it where that
 		// costs least. Guards against replicas lagging all in turn, whatever holds them up. It harms if
@@ -235,27 +220,30 @@
 // find the nodes with the highest weight idle each time, and all routers together would crowd them; so it
 // counts a random part of one, by which idle nodes are chosen about in proportion to their weights.
 func (r *Router) one() float64 {
-	if r.sparse() {
-		return float64(1+r.chance.below(1<<20)) / (1 << 20)
+	if !r.sparse() {
+		return 1
 	}
-	return 1
+	return float64(1+r.chance.below(1<<20)) / (1 << 20)
 }
 
 // sparse tells whether the router has so few trips out at a node, on average, that they tell little.
 func (r *Router) sparse() bool { return r.borne < tells*float64(r.span) }
 
-// fits tells whether the node can hold one more, of the given part of its room. A second trip takes only
-// spare room. A client that waits for less than the contract time gets room by what it waits: the node's
-// other trips would take too long for it, and its repeats would crowd out patient ones. Harms no one who
-// waits as long as the contract says.
+// fits tells whether the node can hold one more, of the given part of its room: its own, or where the
+// router has too few trips to learn that, one learnt from all nodes. A second trip takes only spare room.
+// A client that waits for less than the contract time gets room by what it waits: other trips would take
+// too long for it, and its repeats would crowd out patient ones. Harms no one who waits as the contract says.
 func (r *Router) fits(m *node, j *job, part float64, now int64) bool {
-	t := &r.tariffs[j.tariff]
+	t, room := &r.tariffs[j.tariff], m.room.size
+	if r.sparse() {
+		room = r.shared.size
+	}
 	if j.out > 0 {
-		part *= spare
+		room *= spare
 	} else {
-		part *= min(1, float64(j.limit-now)/float64(t.ContractTime))
+		room *= min(1, float64(j.limit-now)/float64(t.ContractTime))
 	}
-	return r.crowd(m, now) < r.roomOf(m).size*part && r.bears(m, t.usual, now)
+	return r.crowd(m, now) < room*part && r.bears(m, t.usual, now)
 }
 
 // crowd is how many trips a node is thought to hold: this router's own, and where those tell little also
@@ -268,15 +256,6 @@
 	return own
 }
 
-// roomOf is the node's own room, or where the router has too few trips to learn that, one that it learns
-// from all nodes and that each of them has.
-func (r *Router) roomOf(m *node) *room {
-	if r.sparse() {
-		return &r.shared
-	}
-	return &m.room
-}
-
 // holds tells whether a replica is known, or where nodes check for themselves presumed, to have what the
 // job must see. Presumption is for sites whose reports are nearly as old as the bound; being wrong costs
 // a miss, and a miss ends it until there is news of the replica.
@@ -288,8 +267,7 @@
 	case t.Need == Any || need == 0:
 		return true
 	}
-	return m.position >= need ||
-		r.check && m.heardOf > m.missed && now-m.lag >= need
+	return m.position >= need || r.check && m.heardOf > m.missed && now-m.lag >= need
 }
 
 // open tells whether the list leaves a node open to new work. Where draining alone binds, one called gone
@@ -298,22 +276,18 @@
 	return m.standing == In || r.goneMayServe && m.standing == Gone && !m.drained
 }
 
-// usable tells whether a node may be sent anything new. After failures it proves itself by one trip at a
-// time.
-func (r *Router) usable(m *node, now int64) bool {
-	return r.open(m) && now >= m.aside && (m.failures < distrust || m.held == 0)
+// trusted tells whether a node is not set aside. After failures it proves itself by one trip at a time.
+func (m *node) trusted(now int64) bool {
+	return now >= m.aside && (m.failures < distrust || m.held == 0)
 }
 
-// primary is the member whose latest evidence says so, else the one listed if nothing speaks against it,
-// else -1.
+// primary is the member whose latest evidence says so, else the one listed with nothing against it, or -1.
 func (r *Router) primary(g int32, now int64) int32 {
 	best, at := int32(-1), int64(-1)
 	for _, n := range r.groups[g].members {
 		m := &r.nodes[n]
 		if !r.open(m) && now > m.told+r.grace {
-			continue
-		}
-		if m.role == Primary && m.roleAt > at {
+		} else if m.role == Primary && m.roleAt > at {
 			best, at = n, m.roleAt
 		} else if m.role == Unknown && m.listed && at < 0 {
 			best, at = n, 0
@@ -332,28 +306,25 @@
 		if j.fallback {
 			share = spare
 		}
-		if now >= m.aside && (m.failures < distrust || m.held == 0) {
-			if m.mayStillAnswer(j) {
-				return
-			}
-			if r.fits(m, j, share, now) {
-				r.send(j, n, now)
-				return
-			}
-			if t.Need != Write {
-				r.giveUp(j, now, 0)
-				return
-			}
+		switch {
+		case !m.trusted(now):
+		case m.mayStillAnswer(j):
+			return
+		case r.fits(m, j, share, now):
+			r.send(j, n, now)
+			return
+		case t.Need != Write:
+			r.giveUp(j, now, 0)
+			return
 		}
 	} else if n = r.nextMember(j, now); n >= 0 {
 		r.send(j, n, now)
 		return
 	}
-	if now >= j.holdEnd || now+2*r.sweep >= j.limit {
+	if j.held = now < j.holdEnd && now+2*r.sweep < j.limit; !j.held {
 		r.giveUp(j, now, r.away)
 		return
 	}
-	j.held = true
 	for _, n := range r.groups[j.group].members {
 		r.again(n, 4*r.sweep, now)
 	}
@@ -369,7 +340,7 @@
 	}
 	for _, n := range r.groups[j.group].members {
 		m := &r.nodes[n]
-		if r.usable(m, now) && !j.tried(n) && (m.role != Replica || m.roleAt <= now-r.sweep) &&
+		if r.open(m) && m.trusted(now) && !j.tried(n) && (m.role != Replica || m.roleAt <= now-r.sweep) &&
 			m.position > top && r.bears(m, r.tariffs[j.tariff].usual, now) {
 			best, top = n, m.position
 		}
@@ -397,45 +368,51 @@
 	return m.queue < 1 && m.work+work <= w*r.perSpan*r.borne*m.weight
 }
 
+// decay brings a node's running sum of work sent to the present.
+func (r *Router) decay(m *node, now int64) {
+	if now > m.workAt {
+		m.work *= math.Exp(-float64(now-m.workAt) / float64(r.span))
+		m.workAt = now
+	}
+}
+
 // mayRepeat tells whether another trip is allowed by the job's tariff, wherever it goes in its group.
 func (r *Router) mayRepeat(j *job, now int64) bool {
 	if j.over || len(j.trips) >= r.maxTrips || j.out > 0 && !r.second || now >= j.limit {
 		return false
 	}
-	t, first := &r.tariffs[j.tariff], j.firstMayRun()
-	return first < 0 || t.Repeat == Reissuable || t.Repeat == Numbered && now <= first+t.Window
+	t, first := &r.tariffs[j.tariff], j.mayHaveRun()
+	return first == nil || t.Repeat == Reissuable || t.Repeat == Numbered && now <= first.sent+t.Window
 }
 
-// firstMayRun is when the earliest trip left that may have run, or -1.
-func (j *job) firstMayRun() int64 {
+// mayHaveRun is the earliest trip left that may have run, or nil.
+func (j *job) mayHaveRun() *trip {
 	for i := range j.trips {
-		if j.trips[i].mayHaveRun() {
-			return j.trips[i].sent
+		if k := &j.trips[i]; k.out || k.ending == Done || k.ending > Moot {
+			return k
 		}
 	}
-	return -1
+	return nil
 }
 
-// circled tells whether the node is in the circle that discards repeats of the job; a job never leaves
-// its group.
+// circled tells whether the node is in the circle that discards repeats of the job; none leaves its group.
 func (r *Router) circled(j *job, n int32) bool {
-	t := &r.tariffs[j.tariff]
-	return t.Repeat != Numbered || t.Circle != OfZone || !slices.ContainsFunc(j.trips, func(k trip) bool {
-		return k.mayHaveRun() && r.nodes[k.node].zone != r.nodes[n].zone
-	})
+	t, first := &r.tariffs[j.tariff], j.mayHaveRun()
+	return t.Repeat != Numbered || t.Circle != OfZone || first == nil ||
+		r.nodes[first.node].zone == r.nodes[n].zone
 }
 
 func (r *Router) send(j *job, n int32, now int64) {
+	m, t := &r.nodes[n], &r.tariffs[j.tariff]
 	if !r.circled(j, n) {
 		r.giveUp(j, now, 0)
 		return
 	}
-	m, t := &r.nodes[n], &r.tariffs[j.tariff]
 	if m.held == 0 {
 		m.heard = now
 	}
-	k := trip{node: n, out: true, answers: m.answers, among: m.held + m.ghosts, crowd: r.crowd(m, now), sent: now, due: 1 / t.usual,
-		then: (*Router).afterRead}
+	k := trip{node: n, out: true, answers: m.answers, among: m.held + m.ghosts, crowd: r.crowd(m, now),
+		sent: now, due: 1 / t.usual, then: (*Router).afterRead}
 	if t.Need == Write {
 		k.then = (*Router).afterWrite
 	}
@@ -508,15 +485,14 @@
 	r.vacate(p)
 }
 
-// afterRead goes on with a read whose trip brought no answer.
+// afterRead goes on with a read whose trip brought no answer, afterWrite with a write that went out once.
 func (r *Router) afterRead(j *job, e Ending, now int64) {
 	if j.out == 0 || e == Miss || e == Full {
 		r.place(j, now)
 	}
 }
 
-// afterWrite goes on with a write: after a miss, with the next member.
-func (r *Router) afterWrite(j *job, e Ending, now int64) {
+func (r *Router) afterWrite(j *job, _ Ending, now int64) {
 	if j.out == 0 {
 		r.place(j, now)
 	}
@@ -527,8 +503,7 @@
 // contract time. Guards against overload, slow nodes and other routers' traffic alike; it harms where
 // time goes up for all, as answers would come late anyway.
 func (r *Router) learn(m *node, among, part float64) {
-	m.room.learn(among, part)
-	if r.sparse() {
+	if m.room.learn(among, part); r.sparse() {
 		r.shared.learn(among, part)
 	}
 }
@@ -555,18 +530,6 @@
 	}
 }
 
-// noted takes in evidence of a node's role and position, true at the time given: an old report never
-// outdoes a newer answer.
-func (m *node) noted(now int64, role Role, position, at int64) {
-	if role != Unknown && at >= m.roleAt {
-		m.role, m.roleAt = role, at
-	}
-	if position > 0 {
-		m.position = max(m.position, position)
-		m.heardOf, m.lag = now, now-position
-	}
-}
-
 // reported takes in a report. A primary stands at the time of its report, so its reports show how old
 // reports are; a replica's is no older than its position, and its lag is less by that age.
 func (r *Router) reported(m *node, now int64, rep Report) {
@@ -607,7 +570,7 @@
 	}
 	j.over = true
 	t := &r.tariffs[j.tariff]
-	if t.Repeat == Reissuable || j.firstMayRun() < 0 || t.Repeat == Numbered && t.Circle == OfAll {
+	if t.Repeat == Reissuable || j.mayHaveRun() == nil || t.Repeat == Numbered && t.Circle == OfAll {
 		r.out.Bounce(j.place, away)
 	} else {
 		r.out.Terminate(j.place)
@@ -621,41 +584,25 @@
 	r.vacate(p)
 }
 
-// listen leaves the word to others, until nothing has been heard for a while.
 func (r *Router) listen(now int64) {
 	r.speaking, r.tellAt, r.speakAt = false, 0, now+2*r.period+r.chance.below(4*r.period)
 }
 
-// speak asks all nodes in turn and tells the other routers, where many have few trips each: so that one
-// asks for all. Whoever hears nobody begins after a random time, and ends when one with a lower number
-// speaks.
+// speak asks all nodes in turn and tells the others, where many routers have few trips each: so that one
+// asks for all. Whoever hears nobody begins after a random time, and yields to one with a lower number.
 func (r *Router) speak(now int64) {
-	if !r.peers || !r.sparse() {
-		return
-	}
-	if now >= r.speakAt {
+	switch {
+	case !r.peers || !r.sparse():
+	case now >= r.speakAt:
 		r.speaking, r.speakAt, r.tellAt, r.toldAt = true, now+r.period, now+2*r.sweep, now
 		for i := range r.nodes {
 			if m := &r.nodes[i]; r.open(m) && m.group >= 0 {
 				r.probe(int32(i), now)
 			}
 		}
-	} else if r.speaking && r.tellAt > 0 && now >= r.tellAt {
+	case r.speaking && r.tellAt > 0 && now >= r.tellAt:
 		r.tellAt = 0
-		words := heading(now)
-		for i := range r.nodes {
-			m := &r.nodes[i]
-			if m.answered < now-r.period || m.position == 0 {
-				continue
-			}
-			if words = appendNews(words, now, m); len(words)+newsLen > mostWords {
-				r.out.Tell(-1, words)
-				words = words[:headingLen]
-			}
-		}
-		if len(words) > headingLen {
-			r.out.Tell(-1, words)
-		}
+		r.tellNews(now)
 	}
 }
 
@@ -668,14 +615,7 @@
 	if !r.speaking || from < r.me {
 		r.listen(now)
 	}
-	for at, rest := beheaded(words); len(rest) >= newsLen && at <= now; rest = rest[newsLen:] {
-		mark, news := newsIn(rest, at)
-		if named := r.marks[mark]; len(named) == 1 && news.Given {
-			m := &r.nodes[named[0]]
-			news.Queue = m.queue
-			r.reported(m, now, news)
-		}
-	}
+	r.hearNews(now, words)
 }
 
 // Probed takes in a probe's result.
@@ -684,15 +624,13 @@
 	m.probing = false
 	// A probe that fails says nothing of trips: it may have been one of too many at once, or be all that
 	// fails there. Nodes that serve nothing show it by their trips.
-	if !ok {
-		return
-	}
-	r.reported(m, now, rep)
-	m.answered = now
-	if m.unreached {
-		m.alive(now)
+	if ok {
+		r.reported(m, now, rep)
+		if m.answered = now; m.unreached {
+			m.alive(now)
+		}
+		r.release(now)
 	}
-	r.release(now)
 }
 
 // Wake is the alarm: it looks after the nodes, the groups, and the jobs that wait.
@@ -715,10 +653,7 @@
 		if m.held > 0 && now >= m.aside && float64(now-m.heard)*m.due > patience {
 			r.failed(m, now, distrust)
 		}
-		if !r.open(m) || m.group < 0 {
-			continue
-		}
-		if r.warmth(m, now) >= 1 {
+		if r.open(m) && r.warmth(m, now) >= 1 {
 			sum, warm = sum+m.work/m.weight, warm+1
 		}
 	}
@@ -726,12 +661,7 @@
 		r.borne = sum / warm
 	}
 	for i := range r.jobs {
-		j := &r.jobs[i]
-		if !j.live {
-			continue
-		}
-		waits := r.late(j, now)
-		if !j.held && !waits && now < j.wanted && r.mayRepeat(j, now) {
+		if j := &r.jobs[i]; j.live && !r.late(j, now) && !j.held && now < j.wanted && r.mayRepeat(j, now) {
 			r.place(j, now)
 		}
 	}
@@ -753,6 +683,9 @@
 	}
 }
 
+// passed is how many times over the node has answered as many trips as were there when this one left.
+func (m *node) passed(k *trip) float64 { return (m.answers - k.answers) / (k.among + 1) }
+
 // mayStillAnswer tells whether the node has a trip of the job that isn't lost beyond much doubt. There is
 // no other primary to try, so a second trip there does the same work twice; it is only for lost answers.
 func (m *node) mayStillAnswer(j *job) bool {
--- a/balance/state.go
+++ b/balance/state.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"math"
 	"slices"
 )
 
@@ -48,14 +47,15 @@
 }
 
 type job struct {
-	place                             Place
-	live, over, held, fallback, asked bool // fallback: no replica is fresh enough
-	tariff, group, out                int32
-	session                           uint64
-	need                              int64 // position that a session read must see
-	taken, wanted                     int64 // when it came in, and its contract time
-	limit, holdEnd                    int64 // its hard limit, and until when it may be held
-	trips                             []trip
+	place                      Place
+	live, over, held, fallback bool // fallback: no replica is fresh enough
+	tariff, group, out         int32
+	asked                      int // whether it asked for the load of nodes: 0 or 1
+	session                    uint64
+	need                       int64 // position that a session read must see
+	taken, wanted              int64 // when it came in, and its contract time
+	limit, holdEnd             int64 // its hard limit, and until when it may be held
+	trips                      []trip
 }
 
 type node struct {
@@ -142,19 +142,6 @@
 	return int64(uint64(uint32(*c)) * uint64(max(n, 1)) >> 32)
 }
 
-// passed is how many times over the node has answered as many trips as were there when this one left.
-func (m *node) passed(k *trip) float64 { return (m.answers - k.answers) / (k.among + 1) }
-
-func (k *trip) mayHaveRun() bool { return k.out || k.ending == Done || k.ending > Moot }
-
-// decay brings a node's running sum of work sent to the present.
-func (r *Router) decay(m *node, now int64) {
-	if now > m.workAt {
-		m.work *= math.Exp(-float64(now-m.workAt) / float64(r.span))
-		m.workAt = now
-	}
-}
-
 // Listing begins a word from the list; Member and Listed follow.
 func (r *Router) Listing(whole bool) {
 	r.whole = whole
@@ -223,3 +210,15 @@
 	}
 	r.young[session] = max(at, r.lastWrite(session))
 }
+
+// noted takes in evidence of a node's role and position, true at the time given: an old report never
+// outdoes a newer answer.
+func (m *node) noted(now int64, role Role, position, at int64) {
+	if role != Unknown && at >= m.roleAt {
+		m.role, m.roleAt = role, at
+	}
+	if position > 0 {
+		m.position = max(m.position, position)
+		m.heardOf, m.lag = now, now-position
+	}
+}
--- a/balance/words.go
+++ b/balance/words.go
@@ -36,3 +36,33 @@
 		Role: Role(words[6] >> 6), Queue: -1, Held: float64(words[6] & mostHeld),
 		Busy: float64(words[7]) / allBusy}
 }
+
+// tellNews tells all other routers of the nodes that this one had reports of within the period.
+func (r *Router) tellNews(now int64) {
+	words := heading(now)
+	for i := range r.nodes {
+		m := &r.nodes[i]
+		if m.answered < now-r.period || m.position == 0 {
+			continue
+		}
+		if words = appendNews(words, now, m); len(words)+newsLen > mostWords {
+			r.out.Tell(-1, words)
+			words = words[:headingLen]
+		}
+	}
+	if len(words) > headingLen {
+		r.out.Tell(-1, words)
+	}
+}
+
+// hearNews takes in news of nodes that the own list has named; a mark that two of them share names none.
+func (r *Router) hearNews(now int64, words []byte) {
+	for at, rest := beheaded(words); len(rest) >= newsLen && at <= now; rest = rest[newsLen:] {
+		mark, news := newsIn(rest, at)
+		if named := r.marks[mark]; len(named) == 1 && news.Given {
+			m := &r.nodes[named[0]]
+			news.Queue = m.queue
+			r.reported(m, now, news)
+		}
+	}
+}
