Cold budget by lot where a router has less than a job in the rule's span

Cause: a router with a job every few seconds at a node could never spend its share of a young node's budget, so that after a release hundreds of routers left the new nodes idle for 17 s. Evidence: the young nodes' share of trips was nothing while their groups bounced for want of room. Now each job draws a lot; young nodes get so many that one of them bears them even as the last with room.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -114,6 +114,9 @@
 	*j = job{place: p, live: true, tariff: int32(t), group: int32(g), session: session, trips: j.trips[:0],
 		taken: now, wanted: now + min(wait, r.tariffs[t].ContractTime), limit: now + wait,
 		holdEnd: now + int64(holdShare*float64(wait))}
+	if j.lot = 0; r.sparse() {
+		j.lot = float64(r.chance.below(1<<20)) / (1 << 20)
+	}
 	if !r.carried {
 		j.need = r.lastWrite(session)
 	} else if wrote > 0 {
@@ -192,7 +195,7 @@
 		fresh = true
 		laggard := t.Need == Any && m.lag > r.useful
 		long := t.usual > float64(r.useful) && r.isTold(now) && m.busy < calm
-		if !(laggard && long && r.bears(m, t.usual, now)) && !r.fits(m, j, 1, now) {
+		if !(laggard && long && r.bears(m, j, now)) && !r.fits(m, j, 1, now) {
 			continue
 		}
 		score := m.weight * r.warmth(m, now) / (r.one() + r.crowd(m, now))
@@ -243,7 +246,7 @@
 	} else {
 		room *= min(1, float64(j.limit-now)/float64(t.ContractTime))
 	}
-	return r.crowd(m, now) < room*part && r.bears(m, t.usual, now)
+	return r.crowd(m, now) < room*part && r.bears(m, j, now)
 }
 
 // crowd is how many trips a node is thought to hold: this router's own, and where those tell little also
@@ -341,7 +344,7 @@
 	for _, n := range r.groups[j.group].members {
 		m := &r.nodes[n]
 		if r.open(m) && m.trusted(now) && !j.tried(n) && (m.role != Replica || m.roleAt <= now-r.sweep) &&
-			m.position > top && r.bears(m, r.tariffs[j.tariff].usual, now) {
+			m.position > top && r.bears(m, j, now) {
 			best, top = n, m.position
 		}
 	}
@@ -359,13 +362,22 @@
 // share of what warm nodes bear on average, so that all routers together stay under what it can do. Its
 // own report of waiting jobs closes it. Guards the cold rule for replicas and a young primary; it harms
 // where traffic has just jumped.
-func (r *Router) bears(m *node, work float64, now int64) bool {
+func (r *Router) bears(m *node, j *job, now int64) bool {
 	w := r.warmth(m, now)
-	if w >= 1 {
-		return true
+	if w >= 1 || m.queue >= 1 {
+		return w >= 1
+	}
+	// A router with less than a job in the span goes by lot instead: young nodes get so many of its jobs
+	// that one of them bears them even if it is the last that its group has room at, and clients ask again.
+	if r.sparse() {
+		share := 1.0
+		if m.role != Primary {
+			share = r.groups[m.group].others
+		}
+		return j.lot*share < spare*r.perSpan*w
 	}
 	r.decay(m, now)
-	return m.queue < 1 && m.work+work <= w*r.perSpan*r.borne*m.weight
+	return m.work+r.tariffs[j.tariff].usual <= w*r.perSpan*r.borne*m.weight
 }
 
 // decay brings a node's running sum of work sent to the present.
@@ -642,6 +654,9 @@
 	}
 	r.speak(now)
 	sum, warm := 0.0, 0.0
+	for i := range r.groups {
+		r.groups[i].others = 0
+	}
 	for i := range r.nodes {
 		m := &r.nodes[i]
 		r.decay(m, now)
@@ -653,9 +668,16 @@
 		if m.held > 0 && now >= m.aside && float64(now-m.heard)*m.due > patience {
 			r.failed(m, now, distrust)
 		}
-		if r.open(m) && r.warmth(m, now) >= 1 {
+		if !r.open(m) || m.group < 0 {
+			continue
+		}
+		w, g := r.warmth(m, now), &r.groups[m.group]
+		if w >= 1 {
 			sum, warm = sum+m.work/m.weight, warm+1
 		}
+		if m.role != Primary {
+			g.others++
+		}
 	}
 	if warm > 0 {
 		r.borne = sum / warm
--- a/balance/state.go
+++ b/balance/state.go
@@ -52,9 +52,10 @@
 	tariff, group, out         int32
 	asked                      int // whether it asked for the load of nodes: 0 or 1
 	session                    uint64
-	need                       int64 // position that a session read must see
-	taken, wanted              int64 // when it came in, and its contract time
-	limit, holdEnd             int64 // its hard limit, and until when it may be held
+	lot                        float64 // from 0 to 1, for what goes by lot
+	need                       int64   // position that a session read must see
+	taken, wanted              int64   // when it came in, and its contract time
+	limit, holdEnd             int64   // its hard limit, and until when it may be held
 	trips                      []trip
 }
 
@@ -94,7 +95,10 @@
 	share float64 // of a primary's room that it may fill
 }
 
-type group struct{ members []int32 }
+type group struct {
+	members []int32
+	others  float64 // its open nodes but the primary
+}
 
 // Seat gives a new job its place.
 func (r *Router) Seat() Place {
