--- a/balance/balance.go
+++ b/balance/balance.go
@@ -192,19 +192,17 @@
 			continue
 		}
 		fresh = true
-		laggard := t.Need == Any && m.lag > r.useful
-		long := t.usual > float64(r.useful) && r.isTold(now) && m.busy < calm
-		if !(laggard && long && r.bears(m, j, now)) && !r.fits(m, j, 1, now) {
+		laggard := t.Need == Any && m.lag > r.useful && t.usual > float64(r.useful) && m.busy < calm
+		laggard = laggard && (r.isTold(now) || !r.sparse() && m.room.strain < ease)
+		if !(laggard && r.sparse() && r.bears(m, j, now)) && !r.fits(m, j, 1, now) {
 			continue
 		}
 		score := m.weight * r.warmth(m, now) / (r.one() + r.crowd(m, now))
-		// Laggards first, the one furthest behind before the others: it serves none but these reads, so
-		// they leave the others free, and a long read that stops its node's apply stops it where that
-		// costs least. Guards against replicas lagging all in turn, whatever holds them up. It harms if
-		// the laggard is slow as well: hence only until its answers take half their contract time, and
-		// for reads too short to hold a replica up only into spare room.
-		if laggard && m.room.strain < ease && (long || !r.sparse() &&
-			(t.usual > float64(r.useful) || r.fits(m, j, spare, now))) {
+		// Laggards first, the one furthest behind before the others: it serves none but these reads, and a
+		// long read, which may stop its node's apply, stops it where that costs least. Guards against
+		// replicas lagging all in turn, whatever holds them up. It harms if the laggard is slow as well:
+		// hence only while its cores aren't all busy, or answers take less than half their contract time.
+		if laggard {
 			score += float64(m.lag)
 		}
 		if score > top {
