--- a/balance/balance.go
+++ b/balance/balance.go
@@ -238,12 +238,15 @@
 	if r.sparse() {
 		room = r.shared.size
 	}
-	if j.out > 0 {
+	if room *= part; j.out > 0 {
 		room *= spare
 	} else {
 		room *= min(1, float64(j.limit-now)/float64(t.ContractTime))
 	}
-	return r.crowd(m, now) < room*part && r.bears(m, j, now)
+	if t.Need < Fresh { // all of it for the tariff that earns most for its work, half at the least
+		room *= spare + (1-spare)*min(1, t.Earnings/t.usual/r.dearest)
+	}
+	return r.crowd(m, now) < room && r.bears(m, j, now)
 }
 
 // crowd is how many trips a node is thought to hold: this router's own, and where those tell little also
@@ -652,6 +655,12 @@
 	}
 	r.speak(now)
 	sum, warm := 0.0, 0.0
+	r.dearest = 0
+	for i := range r.tariffs {
+		if t := &r.tariffs[i]; t.Need < Fresh {
+			r.dearest = max(r.dearest, t.Earnings/t.usual)
+		}
+	}
 	for i := range r.nodes {
 		m := &r.nodes[i]
 		r.decay(m, now)
--- a/balance/state.go
+++ b/balance/state.go
@@ -26,6 +26,7 @@
 	shared                                 room             // of all nodes, for want of better
 	fade                                   int64            // how long what a node shows counts
 	borne                                  float64          // work sent over the span to a warm node
+	dearest                                float64          // most earnings for work of any read
 	purse                                  float64          // probes that may be sent
 	watchAt, backoff, leastBackoff         int64            // of asking for the list
 	young, old                             map[uint64]int64 // positions of sessions' last writes
