--- a/balance/balance.go
+++ b/balance/balance.go
@@ -426,10 +426,7 @@
 		m.heard = now
 	}
 	k := trip{node: n, out: true, answers: m.answers, among: m.held + m.ghosts, crowd: r.crowd(m, now),
-		sent: now, then: (*Router).afterRead}
-	if t.Need == Write {
-		k.then = (*Router).afterWrite
-	}
+		sent: now, then: (*Router).afterTrip}
 	j.trips = append(j.trips, k)
 	j.out++
 	m.held++
@@ -467,10 +464,6 @@
 		if t.Need == Write && !r.carried && note.Position > 0 {
 			r.remember(j.session, note.Position)
 		}
-	case Miss:
-		if t.Need != Write {
-			m.missed = now
-		}
 	case Full:
 		// Where the room is that of all nodes, one full node says nothing of it, but shows itself full.
 		if r.sparse() {
@@ -489,6 +482,8 @@
 	}
 	if t.Need == Write {
 		note.Position = 0 // a commit's is rounded up, so it is no lower bound
+	} else if e == Miss {
+		m.missed = now
 	}
 	m.noted(now, note.Role, note.Position, now)
 	r.reported(m, now, rep)
@@ -498,19 +493,13 @@
 	r.vacate(p)
 }
 
-// afterRead goes on with a read whose trip brought no answer, afterWrite with a write that went out once.
-func (r *Router) afterRead(j *job, e Ending, now int64) {
+// afterTrip goes on with a job whose trip brought no answer.
+func (r *Router) afterTrip(j *job, e Ending, now int64) {
 	if j.out == 0 || e == Miss || e == Full {
 		r.place(j, now)
 	}
 }
 
-func (r *Router) afterWrite(j *job, _ Ending, now int64) {
-	if j.out == 0 {
-		r.place(j, now)
-	}
-}
-
 // learn takes in how long a trip took, as a part of its contract time, with so many trips at the node.
 // Where time goes up with their number, room follows it to the number at which a trip takes half its
 // contract time. Guards against overload, slow nodes and other routers' traffic alike; it harms where
