--- a/balance/balance.go
+++ b/balance/balance.go
@@ -182,7 +182,7 @@
 	top, ties, primary := 0.0, int64(0), r.primary(j.group, now)
 	for _, n := range r.groups[j.group].members {
 		m := &r.nodes[n]
-		if m.probed == 0 && r.open(m) { // the design's first probe, when a job first asks for the group
+		if m.probed == 0 && m.shownAt == 0 && r.open(m) { // the design's first probe, unless others told
 			r.probe(n, now)
 		} else if n != primary && t.Need != Any {
 			r.again(n, r.refresh, now)
