--- a/balance/balance.go
+++ b/balance/balance.go
@@ -311,7 +311,7 @@
 		}
 		switch {
 		case !m.trusted(now):
-		case m.mayStillAnswer(j):
+		case j.out > 0 && j.triedOut(n): // a second trip would do the same work there twice
 			return
 		case r.fits(m, j, share, now):
 			r.send(j, n, now)
@@ -687,14 +687,6 @@
 // passed is how many times over the node has answered as many trips as were there when this one left.
 func (m *node) passed(k *trip) float64 { return (m.answers - k.answers) / (k.among + 1) }
 
-// mayStillAnswer tells whether the node has a trip of the job that isn't lost beyond much doubt. There is
-// no other primary to try, so a second trip there does the same work twice; it is only for lost answers.
-func (m *node) mayStillAnswer(j *job) bool {
-	return slices.ContainsFunc(j.trips, func(k trip) bool {
-		return k.out && k.node == m.self && m.passed(&k) < 3*passes
-	})
-}
-
 // late looks after a job's trips, and tells whether one is worth waiting for: not at a node set aside,
 // and not overdue. A trip past its contract time strains its node at once; but where the node has since
 // passed it over with many other answers, the trip or its answer may be lost, which says nothing of
--- a/balance/state.go
+++ b/balance/state.go
@@ -124,6 +124,10 @@
 	return &r.groups[g]
 }
 
+func (j *job) triedOut(n int32) bool {
+	return slices.ContainsFunc(j.trips, func(k trip) bool { return k.out && k.node == n })
+}
+
 func (j *job) tried(n int32) bool {
 	return slices.ContainsFunc(j.trips, func(k trip) bool { return k.node == n })
 }
