--- a/balance/balance.go
+++ b/balance/balance.go
@@ -67,7 +67,7 @@
 	if r.useful = bound; bound == math.MaxInt64 {
 		r.useful = 2 * shortest
 	}
-	r.refresh, r.period, r.fade, r.shared = r.useful*4/5, shortest, 2*shortest, opened
+	r.refresh, r.period, r.fade, r.shared = r.useful*4/5, 2*shortest, 4*shortest, opened
 	r.listen(now)
 	r.backoff, r.watchAt = r.leastBackoff, now+r.chance.below(r.leastBackoff)
 	out.Alarm(r.sweep)
