--- a/balance/balance.go
+++ b/balance/balance.go
@@ -261,7 +261,7 @@
 
 // holds tells whether a replica is known, or where nodes check for themselves presumed, to have what the
 // job must see. Presumption is for sites whose reports are nearly as old as the bound; being wrong costs
-// a miss, and a miss ends it until there is news of the replica.
+// a miss, and that ends it until there is news, or for a while if the miss told no position.
 func (r *Router) holds(m *node, j *job, now int64) bool {
 	need := j.need
 	switch t := &r.tariffs[j.tariff]; {
@@ -270,7 +270,8 @@
 	case t.Need == Any || need == 0:
 		return true
 	}
-	return m.position >= need || r.check && m.heardOf > m.missed && now-m.lag >= need
+	believed := m.heardOf > m.missed || m.heardOf < m.missed && now-m.missed > r.fade
+	return m.position >= need || r.check && believed && now-m.lag >= need
 }
 
 // open tells whether the list leaves a node open to new work. Where draining alone binds, one called gone
