Room may shrink under one trip, by lot

Cause: where nodes work on many trips at once and queue late, they show nothing waiting while nothing comes back in time; room, never under one, let every trip in, and nineteen in twenty went unanswered.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -246,7 +246,7 @@
 	if t.Need < Fresh { // all of it for the tariff that earns most for its work, half at the least
 		room *= spare + (1-spare)*min(1, t.Earnings/t.usual/r.dearest)
 	}
-	return r.crowd(m, now) < room && r.bears(m, j, now)
+	return r.crowd(m, now)+j.lot < room && r.bears(m, j, now)
 }
 
 // crowd is how many trips a node is thought to hold: this router's own, and where those tell little also
@@ -506,17 +506,17 @@
 // contract time. Guards against overload, slow nodes and other routers' traffic alike; it harms where
 // time goes up for all, as answers would come late anyway.
 func (r *Router) learn(m *node, among, part float64) {
-	if m.room.learn(among, part); r.sparse() {
-		r.shared.learn(among, part)
+	if m.room.learn(among, part, 1); r.sparse() {
+		r.shared.learn(among, part, quick) // by lot, less than one trip
 	}
 }
 
-func (m *room) learn(among, part float64) {
+func (m *room) learn(among, part, least float64) {
 	m.strain += quick * (part - m.strain)
 	switch {
 	case m.strain > ease:
 		m.opening = false
-		m.size = max(1, m.size+quick*min(0, among*ease/m.strain-m.size))
+		m.size = max(least, m.size+quick*min(0, among*ease/m.strain-m.size))
 	case among < m.size/2:
 	case m.opening:
 		m.size = min(mostRoom, m.size+opens)
