--- a/balance/balance.go
+++ b/balance/balance.go
@@ -246,7 +246,7 @@
 	if t.Need < Fresh { // all of it for the tariff that earns most for its work, half at the least
 		room *= spare + (1-spare)*min(1, t.Earnings/t.usual/r.dearest)
 	}
-	return r.crowd(m, now)+j.lot < room && r.bears(m, j, now)
+	return r.crowd(m, now) < room && min(j.lot, 1-quick) < room && r.bears(m, j, now)
 }
 
 // crowd is how many trips a node is thought to hold: this router's own, and where those tell little also
