Learn from time-outs of clients that wait briefly

They ended before the contract time and so taught nothing; now they count as twice the wait, at most as a late trip.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -480,6 +480,9 @@
 		if !k.lost {
 			m.ghosts++
 		}
+		if !k.late && e == TimedOut { // a client that waits briefly: it would have taken longer
+			r.learn(m, k.crowd+1, min(tooLate, 2*float64(took)/float64(t.ContractTime)))
+		}
 	}
 	if t.Need == Write {
 		note.Position = 0 // a commit's is rounded up, so it is no lower bound
