Routers with few jobs leave silent replicas alone at once, and for longer

Now one late trip in silence counts as three, and such a node stays aside for half the cold time and a random part; primaries as before. Also covers ageing nodes.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -113,9 +113,7 @@
 	*j = job{place: p, live: true, tariff: int32(t), group: int32(g), session: session, trips: j.trips[:0],
 		taken: now, wanted: now + min(wait, r.tariffs[t].ContractTime), limit: now + wait,
 		holdEnd: now + int64(holdShare*float64(wait))}
-	if j.lot = 0; r.sparse() {
-		j.lot = float64(r.chance.below(1<<20)) / (1 << 20)
-	}
+	j.lot = 1 - r.one()
 	if !r.carried {
 		j.need = r.lastWrite(session)
 	} else if wrote > 0 {
@@ -174,8 +172,7 @@
 	return due
 }
 
-// replica is the design's choice among those known to be fresh enough. It also tells whether there was
-// any.
+// replica is the design's choice among those known to be fresh enough, and tells whether there was any.
 func (r *Router) replica(j *job, now int64) (best int32, fresh bool) {
 	t := &r.tariffs[j.tariff]
 	best = -1
@@ -334,9 +331,8 @@
 	}
 }
 
-// nextMember is where a write goes on its round while no member is known to be primary: the one with most
-// of the log among those that it has not tried and that have not just shown to be replicas. The last
-// trips are for after it.
+// nextMember is where a write goes on its round while no primary is known: to the one with most of the log,
+// not tried yet and not just shown to be a replica. The last trips are for after it.
 func (r *Router) nextMember(j *job, now int64) int32 {
 	best, top := int32(-1), int64(-1)
 	if r.tariffs[j.tariff].Need != Write || len(j.trips) >= r.maxTrips-2 {
@@ -474,7 +470,7 @@
 		}
 	case Unreachable, Broken, Failed:
 		// One of these is no outage: guards against links that break now and then. Several in a row are.
-		r.failed(m, now)
+		r.failed(m, now, 1)
 		m.unreached = m.unreached || e != Failed && m.failures >= distrust
 	case TimedOut, Revoked:
 		if !k.lost {
@@ -560,11 +556,18 @@
 }
 
 // failed counts failures and, when there are too many, sets the node aside for a fixed time and a random
-// part, so that routers don't return together.
-func (r *Router) failed(m *node, now int64) {
+// part, so that routers don't return together. A router with few trips takes one for three, as it would wait
+// minutes for those, and stays away for longer, as all routers' tries add up: guards against nodes that hang
+// or age among hundreds of routers. It harms when long jobs are taken for silence.
+func (r *Router) failed(m *node, now int64, sparsely int) {
+	span := r.asideFor
+	if r.sparse() && m.role != Primary {
+		m.failures += sparsely - 1
+		span = max(span, r.coldFor/2)
+	}
 	if m.failures++; m.failures >= distrust {
 		r.out.Log(int(m.self), "set aside")
-		m.aside = now + r.asideFor + r.chance.below(r.asideFor)
+		m.aside = now + span + r.chance.below(span)
 	}
 }
 
@@ -612,7 +615,7 @@
 	}
 }
 
-// isTold tells whether any router, this or another, has told news lately.
+// isTold tells whether any router has told news lately.
 func (r *Router) isTold(now int64) bool { return r.toldAt > 0 && now-r.toldAt < 2*r.period }
 
 // Heard takes in what another router tells. It only ever is news of nodes that the own list has named.
@@ -711,7 +714,7 @@
 				m.held--
 			} else if passed < passes {
 				if m.heard <= k.sent && now >= m.aside {
-					r.failed(m, now) // silence, also where few jobs go there
+					r.failed(m, now, distrust) // silence
 				}
 				r.learn(m, k.crowd+1, tooLate)
 			}
