--- a/balance/balance.go
+++ b/balance/balance.go
@@ -107,7 +107,7 @@
 func (r *Router) Take(now int64, p Place, t, g int, session uint64, wait, wrote int64) {
 	j := &r.jobs[p]
 	if r.purse += probing; !r.sparse() || r.isTold(now) {
-		r.purse -= probing * (1 - quick)
+		r.purse -= probing * (1 - quick/2)
 	}
 	r.purse = min(r.purse, float64(len(r.group(g).members)))
 	*j = job{place: p, live: true, tariff: int32(t), group: int32(g), session: session, trips: j.trips[:0],
