An open connection counts twofold at routers with few jobs

Cause: with hundreds of routers nearly each trip sets up a connection, which slow handshakes make time out.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -48,7 +48,7 @@
 		carried: c.SessionsCarried, asideFor: 4 * c.ConnectTimeout, grace: c.DrainGrace / 2,
 		coldFor: c.ColdFor, span: max(c.FallSpan, 1), startShare: c.StartShare,
 		perSpan: coldPart * c.FallMultiple, away: c.LongestAbsence, leastBackoff: c.AskEvery / 20,
-		goneMayServe: c.GoneMayServe, peers: c.RoutersTalk, me: c.Me, marks: map[uint32][]int32{},
+		goneMayServe: c.GoneMayServe, keep: c.KeepAlive, peers: c.RoutersTalk, me: c.Me, marks: map[uint32][]int32{},
 		young: map[uint64]int64{}, old: map[uint64]int64{}}
 	shortest, best, bound := int64(math.MaxInt64), 0.0, int64(math.MaxInt64)
 	for _, t := range c.Tariffs {
@@ -195,6 +195,9 @@
 			continue
 		}
 		score := m.weight * r.warmth(m, now) / (r.one() + r.crowd(m, now))
+		if r.sparse() && m.answers > 0 && now-m.heard < r.keep { // it has a connection there
+			score *= 2
+		}
 		// Laggards first, the one furthest behind before the others: it serves none but these reads, and a
 		// long read, which may stop its node's apply, stops it where that costs least. Guards against
 		// replicas lagging all in turn, whatever holds them up. It harms if the laggard is slow as well:
@@ -379,7 +382,6 @@
 	return m.work+r.tariffs[j.tariff].usual <= w*r.perSpan*r.borne*m.weight
 }
 
-// decay brings a node's running sum of work sent to the present.
 func (r *Router) decay(m *node, now int64) {
 	if now > m.workAt {
 		m.work *= math.Exp(-float64(now-m.workAt) / float64(r.span))
@@ -493,7 +495,6 @@
 	r.vacate(p)
 }
 
-// afterTrip goes on with a job whose trip brought no answer.
 func (r *Router) afterTrip(j *job, e Ending, now int64) {
 	if j.out == 0 || e == Miss || e == Full {
 		r.place(j, now)
@@ -615,7 +616,6 @@
 	}
 }
 
-// isTold tells whether any router has told news lately.
 func (r *Router) isTold(now int64) bool { return r.toldAt > 0 && now-r.toldAt < 2*r.period }
 
 // Heard takes in what another router tells. It only ever is news of nodes that the own list has named.
--- a/balance/state.go
+++ b/balance/state.go
@@ -22,7 +22,7 @@
 	peers, speaking, goneMayServe          bool
 	me                                     int
 	marks                                  map[uint32][]int32
-	period, speakAt, tellAt, toldAt        int64
+	period, speakAt, tellAt, toldAt, keep  int64
 	shared                                 room             // of all nodes, for want of better
 	fade                                   int64            // how long what a node shows counts
 	borne                                  float64          // work sent over the span to a warm node
--- a/balance/types.go
+++ b/balance/types.go
@@ -55,6 +55,7 @@
 	ListOnAsking    bool
 	AskEvery        int64
 	ConnectTimeout  int64
+	KeepAlive       int64 // of idle connections
 	DrainGrace      int64
 	StartShare      float64 // of a node's capacity at its start
 	ColdFor         int64
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -45,6 +45,7 @@
 		ListOnAsking:   str(f, "discovery", false) == "ask",
 		AskEvery:       whole(rules, "askEveryUs", false) * 1000,
 		ConnectTimeout: whole(limits, "connectTimeoutUs", false) * 1000,
+		KeepAlive:      whole(limits, "keepaliveUs", false) * 1000,
 		DrainGrace:     whole(rules, "drainGraceUs", false) * 1000,
 		StartShare:     number(rules, "startCapacity", 0),
 		ColdFor:        whole(rules, "coldUs", false) * 1000,
