Reads that fall on a young primary share its lots as at a replica

When the replicas are young and behind, a group's checked reads all fall on a primary that may be young itself.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -370,8 +370,8 @@
 	// A router with less than a job in the span goes by lot instead: young nodes get so many of its jobs
 	// that one of them bears them even as the last of all that its group had, and clients ask again.
 	if r.sparse() {
-		share := 1.0
-		if m.role != Primary {
+		share := 1.0 // of writes and fresh reads; what a primary gets besides is what replicas would
+		if m.role != Primary || j.fallback {
 			share = max(1, r.groups[m.group].most-1)
 		}
 		return j.lot*share < spare*r.perSpan*w
