--- a/balance/state.go
+++ b/balance/state.go
@@ -227,7 +227,7 @@
 	if role != Unknown && at >= m.roleAt {
 		m.role, m.roleAt = role, at
 	}
-	if position > 0 {
+	if position > 0 && position <= now { // none stands in the future
 		m.position = max(m.position, position)
 		m.heardOf, m.lag = now, now-position
 	}
