--- /dev/null
+++ b/internal/desk/desk.go
@@ -0,0 +1,347 @@
+// Package desk is the only door to the module: one lock, one clock, the alarm. The module answers while a
+// call runs; its orders go into mailboxes and are carried out by others, so that nothing here blocks.
+package desk
+
+import (
+	"fmt"
+	"hash/crc32"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sedgestream/balance"
+)
+
+// Task carries out what the module orders for one job. Orders come one at a time, in the job's own task.
+type Task interface {
+	Send(leg, node int, until int64)
+	Revoke(leg int)
+	Bounce(stayAway int64)
+	Terminate()
+}
+
+// Nodes is where trips learn how to reach a node.
+type Nodes interface {
+	Reach(node int, name, address string)
+}
+
+// Row is one node as the list has it.
+type Row struct {
+	ID, Zone, Address string
+	Group             int64
+	Standing          balance.Standing
+	Weight            float64
+	Started           int64 // Unix nanoseconds, 0 for long ago
+	Primary           bool
+}
+
+// Words are for another router, or for all others if To is below 0.
+type Words struct {
+	To   int
+	Text []byte
+}
+
+// wordsKept bounds the words that wait for the network: the newest of all say what older ones did.
+const wordsKept = 16
+
+// Desk serves one router.
+type Desk struct {
+	log   *zap.Logger
+	start time.Time
+	unix  int64
+	nodes Nodes
+
+	mu      sync.Mutex
+	router  *balance.Router
+	alarm   *time.Timer
+	seats   []seat
+	serials uint64
+	inHand  int
+	boxes   sync.Pool // mailboxes out of use
+	ids     map[string]int
+	names   []string
+	groups  map[int64]int
+	zones   map[string]int
+
+	// Orders that belong to no job. Each list is bounded: a node has at most one probe out.
+	probes, releases []int
+	watch, lookup    bool
+	words            []Words
+	Bell             chan struct{} // rung when any of them is there
+}
+
+type seat struct {
+	task   Task
+	serial uint64
+	legs   int
+	over   bool // the job has its final answer, or nobody waits for it
+	box    chan func()
+}
+
+// Ticket names a job in hand.
+type Ticket struct {
+	desk   *Desk
+	place  balance.Place
+	serial uint64
+	box    chan func()
+}
+
+// Open starts the module.
+func Open(c *balance.Contract, seed uint64, nodes Nodes, log *zap.Logger) *Desk {
+	d := &Desk{log: log, start: time.Now(), nodes: nodes, ids: map[string]int{}, groups: map[int64]int{},
+		zones: map[string]int{}, Bell: make(chan struct{}, 1)}
+	d.unix = d.start.UnixNano()
+	// A job has at most so many orders at a time: a trip, its revoking and its ending for each leg, and the
+	// bounce or termination, the client's leaving and the vacating of its place.
+	orders := 3*c.MaxTrips + 4
+	d.boxes.New = func() any { return make(chan func(), orders) }
+	d.alarm = time.AfterFunc(time.Hour, d.wake)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.router = balance.Open(c, seed, d, d.Now())
+	return d
+}
+
+// Now is the clock: Unix nanoseconds at the start, and only forward from there.
+func (d *Desk) Now() int64 { return d.unix + int64(time.Since(d.start)) }
+
+// Time is the same moment for deadlines of sockets.
+func (d *Desk) Time(now int64) time.Time { return d.start.Add(time.Duration(now - d.unix)) }
+
+func (d *Desk) wake() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.router.Wake(d.Now())
+}
+
+// Group is the index of a group that the list has named.
+func (d *Desk) Group(name int64) (int, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	g, ok := d.groups[name]
+	return g, ok
+}
+
+// Take brings a job in. Its client waits for the time given from now; after is the position that it must
+// see, or 0.
+func (d *Desk) Take(task Task, tariff, group int, session uint64, wait, after int64) *Ticket {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Now()
+	p := d.router.Seat()
+	for len(d.seats) <= int(p) {
+		d.seats = append(d.seats, seat{})
+	}
+	d.serials++
+	box := d.boxes.Get().(chan func())
+	d.seats[p] = seat{task: task, serial: d.serials, box: box}
+	d.inHand++
+	wrote := int64(0)
+	if after > 0 {
+		wrote = max(1, now-after)
+	}
+	d.router.Take(now, p, tariff, group, session, wait, wrote)
+	return &Ticket{d, p, d.serials, box}
+}
+
+// Ended tells of a trip's ending and whether the client is to have what it brought. It comes before the
+// next order is looked at, and before the job's place is vacated.
+func (t *Ticket) Ended(leg int, e balance.Ending, took int64, note balance.Note, rep balance.Report) (serve bool) {
+	d := t.desk
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := &d.seats[t.place]
+	serve = e == balance.Done && !s.over
+	s.over = s.over || serve
+	d.router.Ended(d.Now(), t.place, leg, e, s.over, took, note, rep)
+	return serve
+}
+
+// Left tells that the job's client has gone.
+func (t *Ticket) Left() {
+	d := t.desk
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s := &d.seats[t.place]; s.serial == t.serial && !s.over {
+		s.over = true
+		d.router.Left(t.place)
+	}
+}
+
+// Post puts the ending of one of the job's trips into its mailbox.
+func (t *Ticket) Post(order func()) { t.box <- order }
+
+// Work carries out the job's orders until the job is over and none of its trips is out.
+func (t *Ticket) Work() {
+	for order := range t.box {
+		if order == nil {
+			t.desk.boxes.Put(t.box)
+			return
+		}
+		order()
+	}
+}
+
+// InHand is how many jobs are not vacated yet.
+func (d *Desk) InHand() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.inHand
+}
+
+// List tells the module a list, or changes of it.
+func (d *Desk) List(whole bool, rows []Row) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Now()
+	d.router.Listing(whole)
+	for _, w := range rows {
+		n, ok := d.ids[w.ID]
+		if !ok {
+			n = len(d.names)
+			d.ids[w.ID] = n
+			d.names = append(d.names, w.ID)
+		}
+		d.nodes.Reach(n, w.ID, w.Address)
+		d.router.Member(now, n, index(d.groups, w.Group), index(d.zones, w.Zone), crc32.ChecksumIEEE([]byte(w.ID)),
+			w.Standing, w.Weight, w.Started, w.Primary)
+	}
+	d.router.Listed(now)
+}
+
+func index[K comparable](m map[K]int, k K) int {
+	i, ok := m[k]
+	if !ok {
+		i = len(m)
+		m[k] = i
+	}
+	return i
+}
+
+// ListFailed tells that asking for the list failed, or that the watch ended.
+func (d *Desk) ListFailed() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.router.ListFailed(d.Now())
+}
+
+// Probed tells of a probe's result.
+func (d *Desk) Probed(node int, ok bool, rep balance.Report) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.router.Probed(d.Now(), node, ok, rep)
+}
+
+// Heard tells what another router said.
+func (d *Desk) Heard(from int, words []byte) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.router.Heard(d.Now(), from, words)
+}
+
+// Orders are those that belong to no job.
+type Orders struct {
+	Probes, Releases []int
+	Watch, Lookup    bool
+	Words            []Words
+}
+
+// Collect takes the orders that have come since the last call.
+func (d *Desk) Collect() Orders {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	o := Orders{d.probes, d.releases, d.watch, d.lookup, d.words}
+	d.probes, d.releases, d.watch, d.lookup, d.words = nil, nil, false, false, nil
+	return o
+}
+
+func (d *Desk) ring() {
+	select {
+	case d.Bell <- struct{}{}:
+	default:
+	}
+}
+
+// put leaves an order in a job's mailbox, which has room for all that one job can get.
+func (d *Desk) put(p balance.Place, order func()) {
+	select {
+	case d.seats[p].box <- order:
+	default:
+		panic(fmt.Sprintf("mailbox of place %d is full", p))
+	}
+}
+
+// Submit implements balance.Outside.
+func (d *Desk) Submit(p balance.Place, node int, until int64) {
+	s := &d.seats[p]
+	leg, task := s.legs, s.task
+	s.legs++
+	d.put(p, func() { task.Send(leg, node, until) })
+}
+
+// Revoke implements balance.Outside.
+func (d *Desk) Revoke(p balance.Place, leg int) {
+	task := d.seats[p].task
+	d.put(p, func() { task.Revoke(leg) })
+}
+
+// Bounce implements balance.Outside.
+func (d *Desk) Bounce(p balance.Place, stayAway int64) {
+	s := &d.seats[p]
+	s.over = true
+	task := s.task
+	d.put(p, func() { task.Bounce(stayAway) })
+}
+
+// Terminate implements balance.Outside.
+func (d *Desk) Terminate(p balance.Place) {
+	s := &d.seats[p]
+	s.over = true
+	d.put(p, s.task.Terminate)
+}
+
+// Vacate implements balance.Outside.
+func (d *Desk) Vacate(p balance.Place) {
+	d.put(p, nil)
+	d.inHand--
+}
+
+// Alarm implements balance.Outside.
+func (d *Desk) Alarm(after int64) { d.alarm.Reset(time.Duration(after)) }
+
+// Probe implements balance.Outside.
+func (d *Desk) Probe(node int) {
+	d.probes = append(d.probes, node)
+	d.ring()
+}
+
+// Release implements balance.Outside.
+func (d *Desk) Release(node int) {
+	d.releases = append(d.releases, node)
+	d.ring()
+}
+
+// Watch implements balance.Outside.
+func (d *Desk) Watch() {
+	d.watch = true
+	d.ring()
+}
+
+// Lookup implements balance.Outside.
+func (d *Desk) Lookup() {
+	d.lookup = true
+	d.ring()
+}
+
+// Tell implements balance.Outside.
+func (d *Desk) Tell(router int, words []byte) {
+	if len(d.words) == wordsKept {
+		d.words = d.words[1:]
+	}
+	d.words = append(d.words, Words{router, append([]byte(nil), words...)})
+	d.ring()
+}
+
+// Log implements balance.Outside.
+func (d *Desk) Log(node int, words string) { d.log.Info(words, zap.String("node", d.names[node])) }
--- /dev/null
+++ b/internal/field/field.go
@@ -0,0 +1,132 @@
+// Package field reads the fields of JSON objects. A reader that meets a wrong value leaves by a panic that
+// Catch turns into an error, so that callers read many fields without a check after each.
+package field
+
+import (
+	"fmt"
+
+	"github.com/valyala/fastjson"
+)
+
+// Malformed is that panic.
+type Malformed struct{ Text string }
+
+// Fail leaves the reader of a malformed value.
+func Fail(format string, args ...any) { panic(Malformed{fmt.Sprintf(format, args...)}) }
+
+// Catch, deferred, makes an error of a malformed value; any other panic goes on.
+func Catch(err *error) {
+	switch p := recover().(type) {
+	case nil:
+	case Malformed:
+		*err = fmt.Errorf("%s", p.Text)
+	default:
+		panic(p)
+	}
+}
+
+// Any is the value under the key, or nil where it is absent or null.
+func Any(v *fastjson.Value, key string) *fastjson.Value {
+	if v.Type() != fastjson.TypeObject {
+		Fail("want an object, have %s", v.Type())
+	}
+	if f := v.Get(key); f != nil && f.Type() != fastjson.TypeNull {
+		return f
+	}
+	return nil
+}
+
+func present(v *fastjson.Value, key string, must bool) *fastjson.Value {
+	f := Any(v, key)
+	if f == nil && must {
+		Fail("%s is missing", key)
+	}
+	return f
+}
+
+// Whole is a whole number, 0 where it is absent.
+func Whole(v *fastjson.Value, key string, must bool) int64 {
+	f := present(v, key, must)
+	if f == nil {
+		return 0
+	}
+	n, err := f.Int64()
+	if err != nil {
+		x, ferr := f.Float64()
+		if ferr != nil || x != float64(int64(x)) {
+			Fail("%s: want a whole number, have %s", key, f)
+		}
+		n = int64(x)
+	}
+	return n
+}
+
+// Number is any number.
+func Number(v *fastjson.Value, key string, absent float64) float64 {
+	f := Any(v, key)
+	if f == nil {
+		return absent
+	}
+	x, err := f.Float64()
+	if err != nil {
+		Fail("%s: want a number, have %s", key, f)
+	}
+	return x
+}
+
+// Flag is true or false, false where it is absent.
+func Flag(v *fastjson.Value, key string) bool {
+	f := Any(v, key)
+	if f == nil {
+		return false
+	}
+	b, err := f.Bool()
+	if err != nil {
+		Fail("%s: want true or false, have %s", key, f)
+	}
+	return b
+}
+
+// Text is the text that a value is.
+func Text(v *fastjson.Value) string {
+	b, err := v.StringBytes()
+	if err != nil {
+		Fail("want a text, have %s", v)
+	}
+	return string(b)
+}
+
+// Str is a text, empty where it is absent.
+func Str(v *fastjson.Value, key string, must bool) string {
+	f := present(v, key, must)
+	if f == nil {
+		return ""
+	}
+	b, err := f.StringBytes()
+	if err != nil {
+		Fail("%s: want a text, have %s", key, f)
+	}
+	return string(b)
+}
+
+// Array is an array, nil where it is absent.
+func Array(v *fastjson.Value, key string, must bool) []*fastjson.Value {
+	f := present(v, key, must)
+	if f == nil {
+		return nil
+	}
+	a, err := f.Array()
+	if err != nil {
+		Fail("%s: want an array, have %s", key, f.Type())
+	}
+	return a
+}
+
+// Object is an object that has to be there.
+func Object(v *fastjson.Value, key string) *fastjson.Value {
+	f := present(v, key, true)
+	if f.Type() != fastjson.TypeObject {
+		Fail("%s: want an object, have %s", key, f.Type())
+	}
+	return f
+}
--- /dev/null
+++ b/internal/intake/client.go
@@ -0,0 +1,274 @@
+package intake
+
+import (
+	"errors"
+	"net"
+	"os"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sedgestream/balance"
+	"sedgestream/internal/job"
+	"sedgestream/internal/pg"
+	"sedgestream/internal/ring"
+	"sedgestream/internal/trip"
+)
+
+// firstRing is the least a buffer begins with: a page of memory.
+const firstRing = 4096
+
+var past = time.Unix(1, 0)
+
+// client is a connection from a client. Its goroutine reads all the time, so that a client that goes is
+// noticed; while a job is in hand, that job's task writes. Further queries wait in the buffer.
+type client struct {
+	intake  *Intake
+	sock    net.Conn
+	in, out *ring.Ring
+
+	busy      atomic.Bool  // a job of it is not answered yet
+	waiting   atomic.Bool  // more has come meanwhile
+	idleSince atomic.Int64 // 0 while anything is in hand or half read, closing once the intake ends it
+
+	readAt int64 // when the last bytes came
+	life   *job.Life
+	skip   bool // until Sync, after an error in the extended protocol
+}
+
+const closing = -1
+
+var errEnd = errors.New("intake: connection ends")
+
+func (c *client) live() {
+	defer func() {
+		if p := recover(); p != nil {
+			c.intake.log.Error("a connection's task failed", zap.Any("panic", p), zap.Stack("stack"))
+		}
+		if c.busy.Load() && c.life != nil {
+			c.life.Left()
+		}
+		c.sock.Close()
+		c.in.Free()
+		c.intake.gone(c)
+	}()
+	started := false
+	for {
+		var err error
+		for more := true; more && err == nil && !c.busy.Load(); {
+			if started {
+				more, err = c.message()
+			} else {
+				started, more, err = c.startup()
+			}
+		}
+		if err != nil {
+			return
+		}
+		if err := c.read(); err != nil {
+			return
+		}
+	}
+}
+
+// read waits for more. A client that is silent in the middle of a message has so long; one between
+// messages may be silent as long as it likes.
+func (c *client) read() error {
+	var until time.Time
+	c.waiting.Store(c.in.Len() > 0)
+	switch {
+	case c.busy.Load():
+	case c.in.Len() > 0:
+		until = time.Now().Add(c.intake.patience)
+	default:
+		c.idleSince.Store(c.intake.desk.Now())
+		if c.intake.isLeaving() {
+			return errEnd
+		}
+	}
+	c.sock.SetReadDeadline(until)
+	if c.waiting.Load() && !c.busy.Load() && until.IsZero() {
+		return nil // the job ended just now: its wake may have come before the deadline was set
+	}
+	_, err := c.in.Fill(c.sock)
+	if c.idleSince.Swap(0) == closing {
+		return errEnd // also if a query crossed it: nothing has been done for that
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && until.IsZero() {
+		return nil
+	}
+	c.readAt = c.intake.desk.Now()
+	return err
+}
+
+// startup answers what a connection begins with.
+func (c *client) startup() (started, more bool, err error) {
+	what, size, err := pg.Startup(c.in)
+	if err != nil {
+		c.refuse(pg.BadProtocol, "malformed startup packet")
+		return false, false, err
+	}
+	c.in.Discard(size)
+	switch what {
+	case pg.Incomplete:
+		return false, false, nil
+	case pg.Version3:
+		return true, true, c.say(pg.AppendWelcome(nil))
+	case pg.Encryption:
+		return false, true, c.say([]byte{'N'})
+	case pg.Strange:
+		c.refuse(pg.BadProtocol, "only version 3 of the protocol is spoken here")
+	}
+	return false, false, errEnd
+}
+
+func (c *client) refuse(state, words string) { c.say(pg.AppendError(nil, "FATAL", state, words, "")) }
+
+// message takes in the next message, if it is whole.
+func (c *client) message() (more bool, err error) {
+	kind, body, size, err := pg.Message(c.in)
+	if err != nil {
+		c.refuse(pg.BadProtocol, "malformed message")
+		return false, err
+	}
+	if size == 0 {
+		return false, nil
+	}
+	if c.skip && kind != 'S' && kind != 'X' {
+		c.in.Discard(size)
+		return true, nil
+	}
+	switch kind {
+	case 'Q':
+		err = c.query(body)
+	case 'X':
+		return false, errEnd
+	case 'S':
+		c.skip = false
+		err = c.say(pg.AppendReady(nil))
+	case 'P', 'B', 'D', 'E', 'C', 'F':
+		c.skip = kind != 'F'
+		words := pg.AppendError(nil, "ERROR", pg.NotHere, "only simple queries are served here", "")
+		if kind == 'F' {
+			words = pg.AppendReady(words)
+		}
+		err = c.say(words)
+	case 'H', 'd', 'c', 'f':
+	default:
+		c.refuse(pg.BadProtocol, "unknown message")
+		return false, errEnd
+	}
+	c.in.Discard(size)
+	return true, err
+}
+
+// query makes a job of a query, or answers it at once.
+func (c *client) query(body []byte) error {
+	if len(body) == 0 || body[len(body)-1] != 0 {
+		c.refuse(pg.BadProtocol, "malformed query")
+		return errEnd
+	}
+	text := body[:len(body)-1]
+	if pg.Empty(text) {
+		return c.say(pg.AppendEmpty(nil))
+	}
+	if tag := pg.Harmless(text); tag != "" {
+		return c.say(pg.AppendSet(nil, tag))
+	}
+	s, err := pg.ReadStatement(text)
+	if err != nil {
+		return c.wrong(pg.StrangeForm, err.Error())
+	}
+	t, ok := c.intake.contract.Names[s.Tariff]
+	if !ok {
+		return c.wrong(pg.StrangeValue, "unknown class in the comment")
+	}
+	g, ok := c.intake.desk.Group(s.Group)
+	if !ok {
+		return c.wrong(pg.StrangeValue, "unknown cluster in the comment")
+	}
+	if s.Write != (c.intake.contract.Tariffs[t].Need == balance.Write) {
+		return c.wrong(pg.StrangeValue, "this class wants the other kind of statement")
+	}
+	// What the query has waited here counts against its client's time.
+	wait := s.Wait*int64(time.Millisecond) - (c.intake.desk.Now() - c.readAt)
+	c.busy.Store(true)
+	c.life = job.Begin(c.intake.desk, job.Ask{Tariff: t, Group: g, Session: s.Session, Wait: wait,
+		After: s.After * int64(time.Millisecond)}, c, trip.Cargo{Nodes: c.intake.nodes, Statement: s})
+	go c.work(c.life)
+	return nil
+}
+
+func (c *client) work(l *job.Life) {
+	defer func() {
+		if p := recover(); p != nil {
+			c.intake.log.Error("a job's task failed", zap.Any("panic", p), zap.Stack("stack"))
+			c.sock.Close()
+		}
+	}()
+	l.Live()
+}
+
+func (c *client) wrong(state, words string) error {
+	return c.say(pg.AppendReady(pg.AppendError(nil, "ERROR", state, words, "")))
+}
+
+// say writes to the client, which has so long to read it.
+func (c *client) say(parts ...[]byte) error {
+	c.sock.SetWriteDeadline(time.Now().Add(c.intake.patience))
+	for _, p := range parts {
+		if len(p) > firstRing { // straight from where it is, so that it does not stand in memory twice
+			if err := c.out.Flush(c.sock); err != nil {
+				return err
+			}
+			if _, err := c.sock.Write(p); err != nil {
+				return err
+			}
+		} else if c.out.Write(p); c.out.Len() > firstRing {
+			if err := c.out.Flush(c.sock); err != nil {
+				return err
+			}
+		}
+	}
+	return c.out.Flush(c.sock)
+}
+
+// closeIdle ends the connection if it has been idle since then.
+func (c *client) closeIdle(since int64) bool {
+	if since <= 0 || !c.idleSince.CompareAndSwap(since, closing) {
+		return false
+	}
+	c.sock.Close()
+	return true
+}
+
+// answered ends the job on this connection: the next query may come.
+func (c *client) answered(err error) {
+	if err != nil {
+		c.sock.Close()
+	}
+	if !c.waiting.Load() {
+		c.idleSince.Store(c.intake.desk.Now())
+	}
+	c.busy.Store(false)
+	if c.waiting.Load() || c.intake.isLeaving() {
+		c.sock.SetReadDeadline(past)
+	}
+}
+
+// Done implements job.Client.
+func (c *client) Done(value []byte) { c.answered(c.say(value, pg.AppendReady(nil))) }
+
+// Bounced implements job.Client.
+func (c *client) Bounced(stayAway int64) {
+	detail := ""
+	if ms := (stayAway + int64(time.Millisecond) - 1) / int64(time.Millisecond); ms > 0 {
+		detail = strconv.FormatInt(ms, 10)
+	}
+	c.answered(c.say(pg.AppendReady(pg.AppendBounce(nil, detail))))
+}
+
+// Terminated implements job.Client.
+func (c *client) Terminated() { c.answered(c.say(pg.AppendReady(pg.AppendTermination(nil)))) }
--- /dev/null
+++ b/internal/intake/intake.go
@@ -0,0 +1,167 @@
+// Package intake is where clients come in: the listener, their connections, and the answers to them.
+package intake
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sedgestream/internal/contract"
+	"sedgestream/internal/desk"
+	"sedgestream/internal/pg"
+	"sedgestream/internal/ring"
+	"sedgestream/internal/trip"
+)
+
+// Intake serves one listener.
+type Intake struct {
+	desk     *desk.Desk
+	nodes    *trip.Nodes
+	contract *contract.Contract
+	log      *zap.Logger
+	listener net.Listener
+	budget   *ring.Budget
+	patience time.Duration // for the rest of a message, and for a client that does not read
+	pause    time.Duration // when descriptors are out
+
+	mu      sync.Mutex
+	room    *sync.Cond
+	clients map[*client]struct{}
+	most    int
+	leaving bool // idle connections are closed
+	closed  bool
+}
+
+// Limits are what the clients' side may use.
+type Limits struct {
+	Connections int
+	Budget      *ring.Budget
+}
+
+// New serves what comes to the listener, once Serve is called.
+func New(l net.Listener, c *contract.Contract, d *desk.Desk, n *trip.Nodes, limits Limits, log *zap.Logger) *Intake {
+	t := &Intake{desk: d, nodes: n, contract: c, log: log, listener: l, budget: limits.Budget, most: limits.Connections,
+		clients: map[*client]struct{}{}, patience: time.Duration(c.KeepAlive), pause: time.Duration(c.Tick)}
+	t.room = sync.NewCond(&t.mu)
+	return t
+}
+
+// Serve accepts until the listener is closed. Where all descriptors for clients are in use it makes room by
+// the connection idle longest, or waits for one to end.
+func (t *Intake) Serve() {
+	for {
+		sock, err := t.listener.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return
+		case err != nil:
+			t.log.Warn("accept", zap.Error(err))
+			if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+				t.makeRoom()
+			}
+			time.Sleep(t.pause)
+			continue
+		}
+		c := newClient(t, sock)
+		t.mu.Lock()
+		for len(t.clients) >= t.most && !t.closed {
+			if !t.closeOldest() {
+				t.room.Wait()
+			}
+		}
+		if t.closed {
+			t.mu.Unlock()
+			sock.Close()
+			return
+		}
+		t.clients[c] = struct{}{}
+		t.mu.Unlock()
+		go c.live()
+	}
+}
+
+func (t *Intake) makeRoom() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closeOldest()
+}
+
+// closeOldest ends the connection that has been idle longest, if any is idle.
+func (t *Intake) closeOldest() bool {
+	var oldest *client
+	var since int64
+	for c := range t.clients {
+		if at := c.idleSince.Load(); at > 0 && (oldest == nil || at < since) {
+			oldest, since = c, at
+		}
+	}
+	if oldest == nil || !oldest.closeIdle(since) {
+		return false
+	}
+	delete(t.clients, oldest)
+	return true
+}
+
+func (t *Intake) gone(c *client) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.clients, c)
+	t.room.Broadcast()
+}
+
+// Leave closes the connections that wait for nothing, now and as they become idle.
+func (t *Intake) Leave() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.leaving = true
+	for c := range t.clients {
+		c.closeIdle(c.idleSince.Load())
+	}
+}
+
+func (t *Intake) isLeaving() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.leaving
+}
+
+// Close stops the listener, and ends connections without a job in hand.
+func (t *Intake) Close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closed = true
+	t.listener.Close()
+	for c := range t.clients {
+		if !c.busy.Load() {
+			c.sock.Close()
+		}
+	}
+	t.room.Broadcast()
+}
+
+// Wait returns once all connections have ended, after Leave and Close: each with the answer that it is owed.
+func (t *Intake) Wait() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for len(t.clients) > 0 {
+		t.room.Wait()
+	}
+}
+
+// Clients is how many connections are open.
+func (t *Intake) Clients() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.clients)
+}
+
+func newClient(t *Intake, sock net.Conn) *client {
+	c := &client{intake: t, sock: sock, in: ring.New(firstRing, pg.MostMessage+1, t.budget),
+		out: ring.New(firstRing, pg.MostMessage+1, t.budget)}
+	c.idleSince.Store(t.desk.Now())
+	return c
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,89 @@
+// Package peer carries words between routers: datagrams to one of them, or to all.
+package peer
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+
+	"go.uber.org/zap"
+
+	"sedgestream/internal/desk"
+)
+
+// mostWords is the longest datagram of the protocol page.
+const mostWords = 256
+
+// Peers are the routers that may talk.
+type Peers struct {
+	desk   *desk.Desk
+	log    *zap.Logger
+	sock   *net.UDPConn
+	me     int
+	routes []netip.AddrPort // by their numbers in the contract, the own one included
+	all    netip.AddrPort
+}
+
+// Listen opens the address for what others say.
+func Listen(address string, routes []string, all string, me int, d *desk.Desk, log *zap.Logger) (*Peers, error) {
+	p := &Peers{desk: d, log: log, me: me}
+	own, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, err
+	}
+	for _, r := range routes {
+		to, err := netip.ParseAddrPort(r)
+		if err != nil {
+			return nil, err
+		}
+		p.routes = append(p.routes, to)
+	}
+	if all != "" {
+		if p.all, err = netip.ParseAddrPort(all); err != nil {
+			return nil, err
+		}
+	}
+	p.sock, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(own))
+	return p, err
+}
+
+// Hear passes on what the others say, until Close. What comes from no known address is dropped.
+func (p *Peers) Hear() {
+	var words [mostWords + 1]byte
+	for {
+		n, from, err := p.sock.ReadFromUDPAddrPort(words[:])
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil || n > mostWords {
+			continue
+		}
+		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		for i, r := range p.routes {
+			if r == from && i != p.me {
+				p.desk.Heard(i, words[:n])
+				break
+			}
+		}
+	}
+}
+
+// Tell says words to one router, or to all others below 0.
+func (p *Peers) Tell(to int, words []byte) {
+	address := p.all
+	if to >= 0 {
+		if to >= len(p.routes) {
+			return
+		}
+		address = p.routes[to]
+	}
+	if !address.IsValid() || len(words) > mostWords {
+		return
+	}
+	if _, err := p.sock.WriteToUDPAddrPort(words, address); err != nil {
+		p.log.Warn("words to other routers", zap.Error(err))
+	}
+}
+
+// Close ends it.
+func (p *Peers) Close() { p.sock.Close() }
--- /dev/null
+++ b/internal/pg/answer.go
@@ -0,0 +1,167 @@
+package pg
+
+import (
+	"bytes"
+	"encoding/binary"
+	"math"
+	"strconv"
+
+	"sedgestream/balance"
+)
+
+// Answer is what a node has sent for one query so far.
+type Answer struct {
+	Ending balance.Ending // once Whole
+	Whole  bool           // ReadyForQuery has come
+	Value  []byte         // the messages that hold the value, as the node gave them
+	Note   balance.Note
+	Report balance.Report
+
+	described, row, complete bool
+	state                    string
+}
+
+// Take takes in a message. One that does not belong here is malformed; what came before it stays in doubt.
+func (a *Answer) Take(kind byte, body []byte) error {
+	switch kind {
+	case 'S':
+		name, rest, ok := bytes.Cut(body, []byte{0})
+		value, _, whole := bytes.Cut(rest, []byte{0})
+		if !ok || !whole {
+			return ErrMalformed
+		}
+		a.status(string(name), string(value))
+	case 'N':
+	case 'T':
+		if a.described || a.state != "" || len(body) < 2 || binary.BigEndian.Uint16(body) != 1 {
+			return ErrMalformed
+		}
+		a.described = true
+		a.keep(kind, body)
+	case 'D':
+		if !a.described || a.row || len(body) < 6 || binary.BigEndian.Uint16(body) != 1 {
+			return ErrMalformed
+		}
+		if n := int32(binary.BigEndian.Uint32(body[2:])); int64(max(n, 0)) != int64(len(body)-6) {
+			return ErrMalformed
+		}
+		a.row = true
+		a.keep(kind, body)
+	case 'C':
+		if !a.row || a.complete || a.state != "" {
+			return ErrMalformed
+		}
+		a.complete = true
+		a.keep(kind, body)
+	case 'E':
+		if a.complete || a.state != "" {
+			return ErrMalformed
+		}
+		if a.state = errorField(body, 'C'); a.state == "" {
+			return ErrMalformed
+		}
+	case 'Z':
+		if len(body) != 1 || !a.complete && a.state == "" {
+			return ErrMalformed
+		}
+		a.Whole = true
+		a.Ending = a.ended()
+	default:
+		return ErrMalformed
+	}
+	return nil
+}
+
+func (a *Answer) keep(kind byte, body []byte) {
+	var at int
+	a.Value, at = begin(a.Value, kind)
+	a.Value = end(append(a.Value, body...), at)
+}
+
+// ended maps the states of the protocol page's table.
+func (a *Answer) ended() balance.Ending {
+	switch a.state {
+	case "":
+		return balance.Done
+	case "25006", "72000":
+		return balance.Miss
+	case "53300", "57P03":
+		return balance.Full
+	}
+	return balance.Failed
+}
+
+func errorField(body []byte, kind byte) string {
+	for len(body) > 1 {
+		text, rest, ok := bytes.Cut(body[1:], []byte{0})
+		if !ok {
+			return ""
+		}
+		if body[0] == kind {
+			return string(text)
+		}
+		body = rest
+	}
+	return ""
+}
+
+func (a *Answer) status(name, value string) {
+	switch name {
+	case "rank":
+		switch value {
+		case "source":
+			a.Note.Role = balance.Primary
+		case "copy":
+			a.Note.Role = balance.Replica
+		}
+	case "as_of":
+		if n, err := strconv.ParseInt(value, 10, 64); err == nil && n > 0 && n < math.MaxInt64/1_000_000 {
+			a.Note.Position = n * 1e6
+		}
+	case "vitals":
+		a.Report = readReport(value)
+	}
+}
+
+// Vitals is the report that a probe's row holds.
+func (a *Answer) Vitals() balance.Report {
+	for k := 0; k+5 <= len(a.Value); {
+		n := int(binary.BigEndian.Uint32(a.Value[k+1:]))
+		if a.Value[k] == 'D' {
+			return readReport(string(a.Value[k+11 : k+1+n]))
+		}
+		k += 1 + n
+	}
+	return balance.Report{}
+}
+
+// readReport reads name=value pairs; positions are Unix seconds here, rounded down to whole microseconds so
+// that no node looks fresher than it is.
+func readReport(text string) balance.Report {
+	r := balance.Report{Queue: -1, Held: -1}
+	for _, pair := range bytes.Split([]byte(text), []byte(",")) {
+		name, value, _ := bytes.Cut(pair, []byte("="))
+		x, err := strconv.ParseFloat(string(bytes.TrimSpace(value)), 64)
+		if err != nil || math.IsNaN(x) || math.IsInf(x, 0) {
+			continue
+		}
+		r.Given = true
+		switch string(bytes.TrimSpace(name)) {
+		case "queue", "depth":
+			r.Queue = x
+		case "inflight", "concurrent":
+			r.Held = x
+		case "util", "load_share":
+			r.Busy = x
+		case "x0":
+			if x > 0 && x < math.MaxInt64/1e9 {
+				r.Position = int64(math.Floor(x*1e6)) * 1000
+			}
+		case "x1":
+			if r.Role = balance.Replica; x >= 0.5 {
+				r.Role = balance.Primary
+			}
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/internal/pg/statement.go
@@ -0,0 +1,161 @@
+package pg
+
+import (
+	"bytes"
+	"errors"
+	"math"
+	"strconv"
+)
+
+// Statement is a client's query: what its comment says of the job, and its text, which goes to nodes
+// unchanged but for the time that the client waits.
+type Statement struct {
+	Tariff  string
+	Session uint64
+	Wait    int64 // milliseconds, from when the client sent it
+	Group   int64
+	After   int64 // position that the read must see, in Unix milliseconds; 0: none
+	Write   bool
+
+	text       []byte
+	from, upTo int // where the time stands
+}
+
+// Reasons for which a statement is not taken.
+var (
+	errForm    = errors.New("want SELECT body FROM objects WHERE oid = '...' or INSERT INTO objects (oid, body) VALUES ('...', '...') RETURNING body, with a comment")
+	errComment = errors.New("the comment wants id, c, d and cluster, each once and in its form")
+)
+
+const (
+	selects = "SELECT body FROM objects WHERE oid = '"
+	inserts = "INSERT INTO objects (oid, body) VALUES ('"
+	returns = "RETURNING body"
+)
+
+// ReadStatement reads the text of a query and keeps a copy of it.
+func ReadStatement(text []byte) (*Statement, error) {
+	text = bytes.TrimRight(text, " \t\r\n;")
+	open := bytes.LastIndex(text, []byte("/*"))
+	if open < 0 || !bytes.HasSuffix(text, []byte("*/")) || open+4 > len(text) {
+		return nil, errForm
+	}
+	s := &Statement{text: bytes.Clone(text)}
+	object, ok := s.form(s.text[:open])
+	if !ok {
+		return nil, errForm
+	}
+	// The object's name is the session's. One that is no such number names a session all the same.
+	var err error
+	if s.Session, err = strconv.ParseUint(string(object), 16, 64); err != nil {
+		s.Session = 0
+		for _, c := range object {
+			s.Session = s.Session*31 + uint64(c)
+		}
+	}
+	if !s.comment(open+2, len(s.text)-2) {
+		return nil, errComment
+	}
+	return s, nil
+}
+
+// form checks the part before the comment and gives the object's name.
+func (s *Statement) form(t []byte) (object []byte, ok bool) {
+	rest, read := bytes.CutPrefix(t, []byte(selects))
+	if !read {
+		if rest, s.Write = bytes.CutPrefix(t, []byte(inserts)); !s.Write {
+			return nil, false
+		}
+	}
+	object, rest, ok = bytes.Cut(rest, []byte("'"))
+	if !ok || len(object) == 0 {
+		return nil, false
+	}
+	if s.Write {
+		value := bytes.TrimLeft(rest, ", ")
+		if len(value) == len(rest) || len(value) == 0 || value[0] != '\'' {
+			return nil, false
+		}
+		if _, rest, ok = bytes.Cut(value[1:], []byte("'")); !ok {
+			return nil, false
+		}
+		rest = bytes.TrimLeft(rest, ") ")
+		rest, ok = bytes.CutPrefix(rest, []byte(returns))
+	}
+	return object, ok && len(bytes.TrimSpace(rest)) == 0 || !s.Write && len(bytes.TrimSpace(rest)) == 0
+}
+
+// comment reads the names and values between the two places of the text.
+func (s *Statement) comment(from, upTo int) bool {
+	var id, wait, group bool
+	for at := from; at < upTo; {
+		next := upTo
+		if k := bytes.IndexByte(s.text[at:upTo], ','); k >= 0 {
+			next = at + k
+		}
+		name, value, ok := bytes.Cut(s.text[at:next], []byte("="))
+		if !ok {
+			return false
+		}
+		value = bytes.TrimRight(value, " ")
+		switch string(bytes.TrimSpace(name)) {
+		case "id":
+			if id || len(value) == 0 {
+				return false
+			}
+			id = true
+		case "c":
+			if s.Tariff != "" {
+				return false
+			}
+			s.Tariff = string(value)
+		case "d":
+			// Longer than a client could ever wait is no time to wait.
+			if s.Wait, ok = number(value); !ok || wait || s.Wait > math.MaxInt32 {
+				return false
+			}
+			wait = true
+			s.from = at + bytes.IndexByte(s.text[at:next], '=') + 1
+			s.upTo = s.from + len(value)
+		case "cluster":
+			if s.Group, ok = number(value); !ok || group {
+				return false
+			}
+			group = true
+		case "after":
+			if s.After, ok = number(value); !ok {
+				return false
+			}
+		}
+		at = next + 1
+	}
+	return id && s.Tariff != "" && wait && s.Wait > 0 && group
+}
+
+// number is a whole number of at least 0.
+func number(b []byte) (int64, bool) {
+	n, err := strconv.ParseUint(string(b), 10, 63)
+	return int64(n), err == nil
+}
+
+// AppendQuery is the message that goes to a node, with the time that the router will wait.
+func (s *Statement) AppendQuery(b []byte, wait int64) []byte {
+	b, at := begin(b, 'Q')
+	b = append(b, s.text[:s.from]...)
+	b = strconv.AppendInt(b, wait, 10)
+	b = append(b, s.text[s.upTo:]...)
+	return end(append(b, 0), at)
+}
+
+// Empty tells whether a query holds no statement.
+func Empty(text []byte) bool { return len(bytes.Trim(text, " \t\r\n;")) == 0 }
+
+// Harmless is the tag that answers a statement about the connection itself, which has no effect here, or "".
+func Harmless(text []byte) string {
+	word, _, _ := bytes.Cut(bytes.Trim(text, " \t\r\n;"), []byte(" "))
+	switch w := string(bytes.ToUpper(word)); w {
+	case "SET", "RESET", "DISCARD":
+		return w
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/service/service.go
@@ -0,0 +1,186 @@
+// Package service is the program from its start to its exit.
+package service
+
+import (
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sedgestream/balance"
+	"sedgestream/internal/desk"
+	"sedgestream/internal/intake"
+	"sedgestream/internal/list"
+	"sedgestream/internal/peer"
+	"sedgestream/internal/ring"
+	"sedgestream/internal/trip"
+)
+
+// Phase is where the program stands between start and exit.
+type Phase string
+
+// The phases, in their order.
+const (
+	Starting  Phase = "starting"  // reads what it is told, opens its addresses
+	Serving   Phase = "serving"   // takes all that comes
+	Leaving   Phase = "leaving"   // was told to stop; still takes what comes, as the front does not know yet
+	Finishing Phase = "finishing" // takes nothing new; answers what it has
+	Gone      Phase = "gone"
+)
+
+// What the protocol page says of planned restarts: connections go on coming for up to 0.4 s, and what comes
+// within 0.7 s is still owed an answer.
+const (
+	stillComing = 400 * time.Millisecond
+	stillOwed   = 700 * time.Millisecond
+)
+
+// Of the descriptors, some are for the listener, discovery, datagrams and the runtime; clients and nodes
+// share the rest. Of the memory, a part is the runtime's to stay under, and a part of that for large values.
+const (
+	ownDescriptors = 32
+	clientsShare   = 0.5
+	heapShare      = 0.8
+	valuesShare    = 0.3
+)
+
+// Service is one router.
+type Service struct {
+	log     *zap.Logger
+	posting *Posting
+	phase   Phase
+	desk    *desk.Desk
+	nodes   *trip.Nodes
+	intake  *intake.Intake
+	list    *list.Lister
+	peers   *peer.Peers
+	stop    chan struct{}
+	tasks   sync.WaitGroup
+}
+
+// New is a service that has not started.
+func New(log *zap.Logger) *Service { return &Service{log: log, stop: make(chan struct{})} }
+
+func (s *Service) enter(p Phase, fields ...zap.Field) {
+	s.phase = p
+	s.log.Info(string(p), fields...)
+}
+
+// Run serves until one of the signals has come and all that was taken has been answered.
+func (s *Service) Run(signals <-chan os.Signal) error {
+	s.enter(Starting)
+	if err := s.start(); err != nil {
+		return err
+	}
+	s.enter(Serving, zap.String("name", s.posting.Name), zap.String("listen", s.posting.Listen),
+		zap.Int("nodes", len(s.posting.Known.Rows)))
+	sig := <-signals
+	begun := time.Now()
+	s.enter(Leaving, zap.Stringer("signal", sig), zap.Int("clients", s.intake.Clients()), zap.Int("in hand", s.desk.InHand()))
+	s.leave(begun)
+	s.enter(Finishing, zap.Int("clients", s.intake.Clients()), zap.Int("in hand", s.desk.InHand()))
+	s.finish()
+	s.enter(Gone)
+	return nil
+}
+
+func (s *Service) start() (err error) {
+	if s.posting, err = ReadPosting(os.Getenv); err != nil {
+		return err
+	}
+	p, c := s.posting, s.posting.Contract
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(p.Cores))))
+	heap := int64(heapShare * float64(p.Memory))
+	debug.SetMemoryLimit(heap)
+	budget := ring.NewBudget(int(valuesShare * float64(heap)))
+	shared := max(2, p.Descriptors-ownDescriptors)
+	clients := max(1, int(clientsShare*float64(shared)))
+
+	// On sockets the list always has to be asked for.
+	terms := c.Contract
+	terms.ListOnAsking = true
+	s.nodes = trip.New(&terms, trip.Limits{Connections: shared - clients, Budget: budget}, s.log)
+	s.desk = desk.Open(&terms, p.Seed, s.nodes, s.log)
+	s.nodes.Desk = s.desk
+	s.list = &list.Lister{Address: p.Discovery, Connect: time.Duration(terms.ConnectTimeout), Desk: s.desk, Log: s.log}
+	s.list.Known(p.Known)
+	if terms.RoutersTalk && p.PeerListen != "" {
+		if s.peers, err = peer.Listen(p.PeerListen, p.Peers, p.PeersAll, terms.Me, s.desk, s.log); err != nil {
+			return fmt.Errorf("peer_listen: %w", err)
+		}
+		s.task(s.peers.Hear)
+	}
+	listener, err := net.Listen("tcp", p.Listen)
+	if err != nil {
+		return err
+	}
+	s.intake = intake.New(listener, c, s.desk, s.nodes, intake.Limits{Connections: clients, Budget: budget}, s.log)
+	s.task(s.carryOut)
+	s.task(s.intake.Serve)
+	return nil
+}
+
+func (s *Service) task(f func()) {
+	s.tasks.Add(1)
+	go func() {
+		defer s.tasks.Done()
+		f()
+	}()
+}
+
+// carryOut carries out the module's orders that belong to no job.
+func (s *Service) carryOut() {
+	for {
+		select {
+		case <-s.desk.Bell:
+		case <-s.stop:
+			return
+		}
+		o := s.desk.Collect()
+		if o.Watch {
+			s.task(s.list.Watch)
+		}
+		if o.Lookup {
+			s.task(s.list.Lookup)
+		}
+		for _, n := range o.Releases {
+			s.nodes.Release(n)
+		}
+		for _, n := range o.Probes {
+			s.nodes.Probe(n)
+		}
+		for _, w := range o.Words {
+			if s.peers != nil {
+				s.peers.Tell(w.To, w.Text)
+			}
+		}
+	}
+}
+
+// leave goes on as before while new connections may come, then has clients go elsewhere as they become idle.
+func (s *Service) leave(begun time.Time) {
+	time.Sleep(time.Until(begun.Add(stillComing)))
+	s.intake.Leave()
+	time.Sleep(time.Until(begun.Add(stillOwed)))
+}
+
+// finish waits for what is in hand. Each job ends by its hard limit, so this does too.
+func (s *Service) finish() {
+	s.intake.Close()
+	s.intake.Wait()
+	close(s.stop)
+	s.list.Close()
+	if s.peers != nil {
+		s.peers.Close()
+	}
+	s.nodes.Close()
+	s.tasks.Wait()
+}
+
+var _ balance.Outside = (*desk.Desk)(nil)
--- /dev/null
+++ b/internal/service/start.go
@@ -0,0 +1,91 @@
+package service
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"github.com/valyala/fastjson"
+
+	"sedgestream/internal/contract"
+	"sedgestream/internal/field"
+	"sedgestream/internal/list"
+)
+
+// Posting is what the router is told of its place: who it is, whom it speaks with, what it may use.
+type Posting struct {
+	Name, Listen, Discovery string
+	PeerListen, PeersAll    string
+	Peers                   []string
+	Seed                    uint64
+	Cores                   float64
+	Memory                  int64 // bytes
+	Descriptors             int
+	Known                   list.List
+	Contract                *contract.Contract
+}
+
+// What stands where the configuration names no limits: those of the deployment page.
+const (
+	usualCores       = 1
+	usualMemory      = 192
+	usualDescriptors = 1024
+)
+
+// ReadPosting reads the configuration, and the environment where that lacks a value.
+func ReadPosting(env func(string) string) (p *Posting, err error) {
+	defer field.Catch(&err)
+	path := env("ROUTER_CONFIG")
+	if path == "" {
+		return nil, fmt.Errorf("ROUTER_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	v, err := fastjson.ParseBytes(text)
+	if err != nil {
+		return nil, fmt.Errorf("%s is not JSON: %w", path, err)
+	}
+	or := func(key, name string) string {
+		if s := field.Str(v, key, false); s != "" {
+			return s
+		}
+		return env(name)
+	}
+	p = &Posting{Name: or("name", "ROUTER_NAME"), Listen: or("listen", "ROUTER_LISTEN"),
+		Discovery: or("discovery", "ROUTER_DISCOVERY"), PeerListen: field.Str(v, "peer_listen", false),
+		PeersAll: field.Str(v, "peers_all", false), Cores: usualCores, Memory: usualMemory << 20,
+		Descriptors: usualDescriptors}
+	for _, a := range []struct{ what, address string }{{"listen", p.Listen}, {"discovery", p.Discovery}} {
+		to, err := netip.ParseAddrPort(a.address)
+		if err != nil || !to.Addr().IsLoopback() {
+			field.Fail("%s: %q is no loopback address with a port", a.what, a.address)
+		}
+	}
+	for _, e := range field.Array(v, "peers", false) {
+		p.Peers = append(p.Peers, field.Text(e))
+	}
+	if s := field.Str(v, "seed", false); s != "" {
+		if p.Seed, err = strconv.ParseUint(s, 16, 64); err != nil {
+			field.Fail("seed: %q is not hexadecimal", s)
+		}
+	}
+	if limits := field.Any(v, "limits"); limits != nil {
+		p.Cores = field.Number(limits, "cores", p.Cores)
+		if mb := field.Number(limits, "memory_mb", 0); mb > 0 {
+			p.Memory = int64(mb * (1 << 20))
+		}
+		if n := field.Whole(limits, "sockets", false); n > 0 {
+			p.Descriptors = int(n)
+		}
+	}
+	if known := field.Any(v, "known"); known != nil {
+		if p.Known, err = list.Read(known); err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+	}
+	p.Contract = contract.Read(field.Object(v, "settings"))
+	return p, nil
+}
--- /dev/null
+++ b/internal/trip/nodes.go
@@ -0,0 +1,205 @@
+// Package trip carries trips and probes to nodes: it keeps the connections, and tells how each trip ended.
+// Where to, when and for how long is told to it.
+package trip
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sedgestream/balance"
+	"sedgestream/internal/desk"
+	"sedgestream/internal/job"
+	"sedgestream/internal/pg"
+	"sedgestream/internal/ring"
+)
+
+// Nodes are all nodes that the list has named, with the connections to them.
+type Nodes struct {
+	Desk   *desk.Desk
+	log    *zap.Logger
+	budget *ring.Budget
+	// From the contract: how long a connection may take to come up, and how long one stays idle.
+	connect, idle time.Duration
+	dialer        net.Dialer
+
+	mu    sync.Mutex
+	nodes []*node
+	most  int // connections, from the descriptors that nodes may have
+	open  int // connections that are up or coming up
+}
+
+type node struct {
+	name, address string
+	idle          []*conn // the one used last at the end
+}
+
+// Limits are what the nodes' side may use.
+type Limits struct {
+	Connections int
+	Budget      *ring.Budget
+}
+
+// New knows no node yet.
+func New(c *balance.Contract, l Limits, log *zap.Logger) *Nodes {
+	return &Nodes{log: log, budget: l.Budget, most: l.Connections, connect: time.Duration(c.ConnectTimeout),
+		// Closed here before the node would close it.
+		idle: max(time.Duration(c.KeepAlive-2*c.ConnectTimeout), time.Duration(c.KeepAlive/2))}
+}
+
+// Reach implements desk.Nodes. A node may move under the same name; what is idle at its old address ends.
+func (s *Nodes) Reach(n int, name, address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.nodes) <= n {
+		s.nodes = append(s.nodes, &node{})
+	}
+	m := s.nodes[n]
+	if m.address != address && m.address != "" {
+		m.closeIdle()
+	}
+	m.name, m.address = name, address
+}
+
+// Release closes the idle connections to a node.
+func (s *Nodes) Release(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nodes[n].closeIdle()
+}
+
+// closeIdle lets the connections' own tasks close them.
+func (m *node) closeIdle() {
+	for _, c := range m.idle {
+		c.retired = true
+		c.poke()
+	}
+	m.idle = nil
+}
+
+// order is a trip or a probe on its way.
+type order struct {
+	node      int
+	statement *pg.Statement // nil for a probe
+	until     time.Time
+	back      func(job.End)
+
+	mu      sync.Mutex
+	sent    time.Time // when it was handed over
+	revoked bool
+	sock    net.Conn // that carries it
+}
+
+// Cargo is a client's statement with the way to send it.
+type Cargo struct {
+	Nodes     *Nodes
+	Statement *pg.Statement
+}
+
+// Send implements job.Sender.
+func (c Cargo) Send(n int, until int64, back func(job.End)) job.Trip {
+	o := &order{node: n, statement: c.Statement, until: c.Nodes.Desk.Time(until), back: back, sent: time.Now()}
+	c.Nodes.start(o, false)
+	return o
+}
+
+// Probe asks a node for its report. It always ends, after twice the connect time at the latest: one for the
+// connection and one for the answer.
+func (s *Nodes) Probe(n int) {
+	now := time.Now()
+	s.start(&order{node: n, until: now.Add(2 * s.connect), sent: now, back: func(e job.End) {
+		s.Desk.Probed(n, e.Ending == balance.Done, e.Report)
+	}}, false)
+}
+
+// start hands an order to the idle connection used last, or to a new one.
+func (s *Nodes) start(o *order, fresh bool) {
+	s.mu.Lock()
+	m := s.nodes[o.node]
+	if k := len(m.idle); k > 0 && !fresh {
+		c := m.idle[k-1]
+		m.idle = m.idle[:k-1]
+		c.order = o
+		c.poke() // under the lock, so that it wakes no later read
+		s.mu.Unlock()
+		return
+	}
+	if s.open >= s.most && !s.closeOldest() {
+		s.mu.Unlock()
+		s.log.Warn("no connection left for a trip", zap.String("node", m.name))
+		o.end(job.End{Ending: balance.Moot}) // never sent
+		return
+	}
+	s.open++
+	address := m.address
+	s.mu.Unlock()
+	c := &conn{nodes: s, node: m, address: address, in: ring.New(firstRing, pg.MostMessage+1, s.budget),
+		out: ring.New(firstRing, pg.MostMessage+1, s.budget)}
+	go c.live(o)
+}
+
+// closeOldest makes room by the idle connection that has been idle longest.
+func (s *Nodes) closeOldest() bool {
+	var at *node
+	for _, m := range s.nodes {
+		if len(m.idle) > 0 && (at == nil || m.idle[0].since.Before(at.idle[0].since)) {
+			at = m
+		}
+	}
+	if at == nil {
+		return false
+	}
+	c := at.idle[0]
+	at.idle = at.idle[1:]
+	c.retired = true
+	c.poke()
+	s.open-- // counted as closed from now on
+	c.uncounted = true
+	return true
+}
+
+// Close ends all idle connections.
+func (s *Nodes) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range s.nodes {
+		m.closeIdle()
+	}
+}
+
+func (o *order) end(e job.End) {
+	e.Took = int64(time.Since(o.sent))
+	o.back(e)
+}
+
+// carriedBy names the connection that carries the order, unless it has been revoked.
+func (o *order) carriedBy(sock net.Conn) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sock = sock
+	return !o.revoked
+}
+
+func (o *order) isRevoked() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.revoked
+}
+
+// Revoke implements job.Trip.
+func (o *order) Revoke() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.revoked = true; o.sock != nil {
+		o.sock.SetDeadline(past)
+	}
+}
+
+func (s *Nodes) dial(address string, until time.Time) (net.Conn, error) {
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	return s.dialer.DialContext(ctx, "tcp", address)
+}
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -9,6 +9,8 @@
 	"github.com/valyala/fastjson"
 
 	"sedgestream/balance"
+	"sedgestream/internal/contract"
+	"sedgestream/internal/field"
 )
 
 // host is one router with the door before it: outside it ids and names, inside small indices.
@@ -29,80 +31,10 @@
 }
 
 func (h *host) provision(e *fastjson.Value) {
-	f := object(e, "facts")
-	said := h.said
-	*h = host{now: h.now, said: said, nodes: map[string]int{}, groups: map[int64]int{}, zones: map[string]int{},
-		tariffs: map[string]int{}, places: map[int64]balance.Place{}}
-	limits, rules, kind := object(f, "limits"), object(f, "rules"), object(f, "specifics")
-	h.zero = whole(kind, "positionZeroUs", false) * 1000
-	h.x0, h.x1 = str(kind, "reportX0", false) != "", str(kind, "reportX1", false) != ""
-	c := balance.Contract{
-		Tick:           whole(f, "tickUs", false) * 1000,
-		MaxTrips:       int(whole(limits, "sendCap", true)),
-		SecondTrips:    flag(limits, "secondCopies"),
-		Probes:         flag(limits, "probes"),
-		NodesCheck:     str(kind, "serverChecks", false) == "await" || str(kind, "serverChecks", false) == "bounce",
-		ListOnAsking:   str(f, "discovery", false) == "ask",
-		AskEvery:       whole(rules, "askEveryUs", false) * 1000,
-		ConnectTimeout: whole(limits, "connectTimeoutUs", false) * 1000,
-		KeepAlive:      whole(limits, "keepaliveUs", false) * 1000,
-		DrainGrace:     whole(rules, "drainGraceUs", false) * 1000,
-		StartShare:     number(rules, "startCapacity", 0),
-		ColdFor:        whole(rules, "coldUs", false) * 1000,
-		FallMultiple:   number(rules, "fallMultiple", 1),
-		FallSpan:       whole(rules, "fallUs", false) * 1000,
-
-		GoneMayServe:    flag(rules, "softRemoval"),
-		RoutersTalk:     flag(limits, "peers"),
-		Me:              int(whole(f, "me", false)),
-		SessionsCarried: str(kind, "tokenMode", false) == "brought",
-	}
-	if flag(limits, "retryAfter") {
-		c.LongestAbsence = whole(limits, "maxRetryAfterUs", false) * 1000
-	}
-	needs, bounds := array(kind, "consistency", true), array(kind, "stalenessBoundUs", false)
-	for i, v := range array(f, "classes", true) {
-		h.tariffs[str(v, "name", true)] = i
-		if i >= len(needs) {
-			fail("specifics.consistency has %d values, too few for the classes", len(needs))
-		}
-		t := balance.Tariff{ContractTime: whole(v, "aimUs", true) * 1000,
-			Window: whole(v, "windowUs", false) * 1000, Earnings: number(v, "worth", 0),
-			LateShare: number(v, "lateWorth", 0)}
-		t.Need = oneOf[balance.Need](text(needs[i]), "eventual", "lag_bound", "causal", "strong", "mutate")
-		t.Repeat = oneOf[balance.Repeat](str(v, "repeat", true), "pure", "token", "side_effect")
-		if t.Repeat == balance.Numbered {
-			t.Circle = oneOf[balance.Circle](str(v, "group", true), "cell", "zone", "all")
-		}
-		if i < len(bounds) {
-			n, err := bounds[i].Int64()
-			if err != nil {
-				fail("specifics.stalenessBoundUs[%d]: want a whole number, have %s", i, bounds[i])
-			}
-			t.Bound = n * 1000
-		}
-		c.Tariffs = append(c.Tariffs, t)
-	}
-	h.router = balance.Open(&c, uint64(whole(e, "initSeed", false)), h, h.now)
-}
-
-func text(v *fastjson.Value) string {
-	b, err := v.StringBytes()
-	if err != nil {
-		fail("want a text, have %s", v)
-	}
-	return string(b)
-}
-
-// oneOf is the place of a word among those known.
-func oneOf[T ~uint8](word string, known ...string) T {
-	for i, k := range known {
-		if word == k {
-			return T(i)
-		}
-	}
-	fail("%q is none of %q", word, known)
-	return 0
+	c := contract.Read(field.Object(e, "facts"))
+	*h = host{now: h.now, said: h.said, nodes: map[string]int{}, groups: map[int64]int{}, zones: map[string]int{},
+		tariffs: c.Names, places: map[int64]balance.Place{}, zero: c.Zero, x0: c.Place, x1: c.Role}
+	h.router = balance.Open(&c.Contract, uint64(field.Whole(e, "initSeed", false)), h, h.now)
 }
 
 // index numbers ids in the order in which they come.
@@ -116,14 +48,14 @@
 }
 
 func (h *host) roster(e *fastjson.Value, s *server) {
-	kind := str(e, "kind", true)
+	kind := field.Str(e, "kind", true)
 	switch kind {
 	case "broken":
 		h.router.ListFailed(h.now)
 		return
 	case "patch", "whole", "stale_copy":
 	default:
-		fail("kind %q is none of patch, whole, stale_copy, broken", kind)
+		field.Fail("kind %q is none of patch, whole, stale_copy, broken", kind)
 	}
 	h.router.Listing(kind != "patch")
 	for _, w := range s.lists[s.buffer(e)] {
@@ -138,16 +70,16 @@
 }
 
 func (h *host) inbound(e *fastjson.Value) {
-	id := whole(e, "job", true)
-	t, ok := h.tariffs[str(e, "type", true)]
+	id := field.Whole(e, "job", true)
+	t, ok := h.tariffs[field.Str(e, "type", true)]
 	if !ok {
-		fail("type %q is not in the settings", str(e, "type", true))
+		field.Fail("type %q is not in the settings", field.Str(e, "type", true))
 	}
 	var session uint64
-	if key := str(e, "connKey", false); key != "" {
+	if key := field.Str(e, "connKey", false); key != "" {
 		var err error
 		if session, err = strconv.ParseUint(key, 16, 64); err != nil {
-			fail("connKey %q is not hexadecimal", key)
+			field.Fail("connKey %q is not hexadecimal", key)
 		}
 	}
 	p := h.router.Seat()
@@ -155,17 +87,17 @@
 		h.ids = append(h.ids, 0)
 	}
 	h.ids[p], h.places[id] = id, p
-	h.router.Take(h.now, p, t, index(h.groups, whole(e, "setNo", false)), session, whole(e, "budgetUs", true)*1000,
-		int64(math.Floor(number(e, "wroteMsAgo", 0)*1e6)))
+	h.router.Take(h.now, p, t, index(h.groups, field.Whole(e, "setNo", false)), session, field.Whole(e, "budgetUs", true)*1000,
+		int64(math.Floor(field.Number(e, "wroteMsAgo", 0)*1e6)))
 }
 
 func (h *host) finished(e *fastjson.Value) {
-	p, ok := h.places[whole(e, "job", true)]
+	p, ok := h.places[field.Whole(e, "job", true)]
 	if !ok {
 		return
 	}
 	var ending balance.Ending
-	switch rc := whole(e, "rc", false); rc {
+	switch rc := field.Whole(e, "rc", false); rc {
 	case 0:
 	case 1:
 		ending = balance.Miss
@@ -184,40 +116,40 @@
 	case 255:
 		ending = balance.Failed
 	default:
-		fail("rc %d is no ending", rc)
+		field.Fail("rc %d is no ending", rc)
 	}
 	var note balance.Note
-	if v := whole(e, "posRole", false); v > 0 {
+	if v := field.Whole(e, "posRole", false); v > 0 {
 		note.Role = balance.Role(v % 4)
 		if v >= 4 {
 			note.Position = h.zero + v/4*1e6
 		}
 	}
-	h.router.Ended(h.now, p, int(whole(e, "leg", false)), ending, flag(e, "settled"), whole(e, "latencyUs", false)*1000,
+	h.router.Ended(h.now, p, int(field.Whole(e, "leg", false)), ending, field.Flag(e, "settled"), field.Whole(e, "latencyUs", false)*1000,
 		note, h.report(e))
 }
 
 func (h *host) heard(e *fastjson.Value) {
-	words, err := base64.StdEncoding.DecodeString(str(e, "content", false))
+	words, err := base64.StdEncoding.DecodeString(field.Str(e, "content", false))
 	if err != nil {
 		return // another router's fault must not stop this one
 	}
-	h.router.Heard(h.now, int(whole(e, "src", false)), words)
+	h.router.Heard(h.now, int(field.Whole(e, "src", false)), words)
 }
 
 func (h *host) report(e *fastjson.Value) balance.Report {
-	v := field(e, "report")
+	v := field.Any(e, "report")
 	if v == nil {
 		return balance.Report{Queue: -1, Held: -1}
 	}
-	r := balance.Report{Given: true, Queue: number(v, "depth", -1), Held: number(v, "concurrent", -1),
-		Busy: number(v, "load_share", 0)}
-	if h.x0 && field(v, "x0") != nil {
-		r.Position = h.zero + int64(math.Floor(number(v, "x0", 0)*1e6))*1000
+	r := balance.Report{Given: true, Queue: field.Number(v, "depth", -1), Held: field.Number(v, "concurrent", -1),
+		Busy: field.Number(v, "load_share", 0)}
+	if h.x0 && field.Any(v, "x0") != nil {
+		r.Position = h.zero + int64(math.Floor(field.Number(v, "x0", 0)*1e6))*1000
 	}
-	if h.x1 && field(v, "x1") != nil {
+	if h.x1 && field.Any(v, "x1") != nil {
 		r.Role = balance.Replica
-		if number(v, "x1", 0) >= 0.5 {
+		if field.Number(v, "x1", 0) >= 0.5 {
 			r.Role = balance.Primary
 		}
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fastjson"
 
 	"sedgestream/balance"
+	"sedgestream/internal/field"
 )
 
 // Serve answers the batches on in until it ends.
@@ -55,11 +56,6 @@
 	}
 }
 
-// malformed is the panic by which a reader of one value leaves the batch.
-type malformed struct{ text string }
-
-func fail(format string, args ...any) { panic(malformed{fmt.Sprintf(format, args...)}) }
-
 type server struct {
 	parser fastjson.Parser
 	hosts  map[int64]*host
@@ -82,8 +78,8 @@
 	defer func() {
 		switch p := recover().(type) {
 		case nil:
-		case malformed:
-			err = fmt.Errorf("%s: %s", where, p.text)
+		case field.Malformed:
+			err = fmt.Errorf("%s: %s", where, p.Text)
 		default:
 			panic(p)
 		}
@@ -93,23 +89,23 @@
 		return nil, fmt.Errorf("not JSON: %w", perr)
 	}
 	if v.Type() != fastjson.TypeObject {
-		fail("want an object, have %s", v.Type())
+		field.Fail("want an object, have %s", v.Type())
 	}
-	now := whole(v, "nowUs", true) * 1000
-	groups := array(v, "groups", true)
+	now := field.Whole(v, "nowUs", true) * 1000
+	groups := field.Array(v, "groups", true)
 	s.reply = append(s.reply[:0], `{"groups":[`...)
 	first := true
 	for gi, g := range groups {
 		where = "groups[" + strconv.Itoa(gi) + "]"
-		id := whole(g, "routerId", true)
+		id := field.Whole(g, "routerId", true)
 		h := s.hosts[id]
 		if h == nil {
 			h = &host{}
 			s.hosts[id] = h
 		}
 		h.now, h.said = now, h.said[:0]
-		for ei, e := range array(g, "inbox", true) {
-			op := str(e, "op", true)
+		for ei, e := range field.Array(g, "inbox", true) {
+			op := field.Str(e, "op", true)
 			where = fmt.Sprintf("groups[%d].inbox[%d] %s", gi, ei, op)
 			if op == "DIRECTORY" {
 				s.directory(e)
@@ -136,18 +132,18 @@
 func (s *server) directory(e *fastjson.Value) {
 	n := s.buffer(e)
 	rows := s.lists[n][:0]
-	for _, v := range array(e, "rowsIn", false) {
-		w := row{node: str(v, "node", true), zone: str(v, "hall", false), group: whole(v, "cluster", false),
-			weight: number(v, "heft", 1), launched: whole(v, "launchedUs", false) * 1000,
-			primary: number(v, "writer", 0) == 1}
-		switch st := str(v, "availability", false); st {
+	for _, v := range field.Array(e, "rowsIn", false) {
+		w := row{node: field.Str(v, "node", true), zone: field.Str(v, "hall", false), group: field.Whole(v, "cluster", false),
+			weight: field.Number(v, "heft", 1), launched: field.Whole(v, "launchedUs", false) * 1000,
+			primary: field.Number(v, "writer", 0) == 1}
+		switch st := field.Str(v, "availability", false); st {
 		case "IN", "":
 		case "LAME":
 			w.standing = balance.Draining
 		case "OUT":
 			w.standing = balance.Gone
 		default:
-			fail("availability %q is none of IN, LAME, OUT", st)
+			field.Fail("availability %q is none of IN, LAME, OUT", st)
 		}
 		rows = append(rows, w)
 	}
@@ -155,9 +151,9 @@
 }
 
 func (s *server) buffer(e *fastjson.Value) int64 {
-	n := whole(e, "buffer", false)
+	n := field.Whole(e, "buffer", false)
 	if n < 0 || n >= int64(len(s.lists)) {
-		fail("buffer %d is not in 0 to %d", n, len(s.lists)-1)
+		field.Fail("buffer %d is not in 0 to %d", n, len(s.lists)-1)
 	}
 	return n
 }
@@ -167,14 +163,14 @@
 	defer func() {
 		switch p := recover().(type) {
 		case nil:
-		case malformed:
+		case field.Malformed:
 			panic(p)
 		default:
 			h.say(`{"op":"CRASH","words":`).quote(fmt.Sprint(op, ": ", p)).end()
 		}
 	}()
 	if h.router == nil && op != "PROVISION" && op != "DOWN" {
-		fail("the instance has not been provisioned")
+		field.Fail("the instance has not been provisioned")
 	}
 	switch op {
 	case "PROVISION":
@@ -188,114 +184,20 @@
 	case "FINISHED":
 		h.finished(e)
 	case "LEFT":
-		if p, ok := h.places[whole(e, "job", true)]; ok {
+		if p, ok := h.places[field.Whole(e, "job", true)]; ok {
 			h.router.Left(p)
 		}
 	case "TICK_DUE":
 		h.router.Wake(h.now)
 	case "PROBE_DONE":
-		if n, ok := h.nodes[str(e, "node", true)]; ok {
-			h.router.Probed(h.now, n, whole(e, "rc", false) == 0, h.report(e))
+		if n, ok := h.nodes[field.Str(e, "node", true)]; ok {
+			h.router.Probed(h.now, n, field.Whole(e, "rc", false) == 0, h.report(e))
 		}
 	case "NEIGHBOUR_SAYS":
 		h.heard(e)
 	case "OPENED": // no streams here
-		str(e, "op", true)
+		field.Str(e, "op", true)
 	default:
-		fail("no such event")
-	}
-}
-
-func field(v *fastjson.Value, key string) *fastjson.Value {
-	if v.Type() != fastjson.TypeObject {
-		fail("want an object, have %s", v.Type())
-	}
-	if f := v.Get(key); f != nil && f.Type() != fastjson.TypeNull {
-		return f
-	}
-	return nil
-}
-
-func whole(v *fastjson.Value, key string, must bool) int64 {
-	f := field(v, key)
-	if f == nil {
-		if must {
-			fail("%s is missing", key)
-		}
-		return 0
-	}
-	n, err := f.Int64()
-	if err != nil {
-		x, ferr := f.Float64()
-		if ferr != nil || x != float64(int64(x)) {
-			fail("%s: want a whole number, have %s", key, f)
-		}
-		n = int64(x)
-	}
-	return n
-}
-
-func number(v *fastjson.Value, key string, absent float64) float64 {
-	f := field(v, key)
-	if f == nil {
-		return absent
-	}
-	x, err := f.Float64()
-	if err != nil {
-		fail("%s: want a number, have %s", key, f)
-	}
-	return x
-}
-
-func flag(v *fastjson.Value, key string) bool {
-	f := field(v, key)
-	if f == nil {
-		return false
-	}
-	b, err := f.Bool()
-	if err != nil {
-		fail("%s: want true or false, have %s", key, f)
-	}
-	return b
-}
-
-func str(v *fastjson.Value, key string, must bool) string {
-	f := field(v, key)
-	if f == nil {
-		if must {
-			fail("%s is missing", key)
-		}
-		return ""
-	}
-	b, err := f.StringBytes()
-	if err != nil {
-		fail("%s: want a text, have %s", key, f)
-	}
-	return string(b)
-}
-
-func array(v *fastjson.Value, key string, must bool) []*fastjson.Value {
-	f := field(v, key)
-	if f == nil {
-		if must {
-			fail("%s is missing", key)
-		}
-		return nil
-	}
-	a, err := f.Array()
-	if err != nil {
-		fail("%s: want an array, have %s", key, f.Type())
-	}
-	return a
-}
-
-func object(v *fastjson.Value, key string) *fastjson.Value {
-	f := field(v, key)
-	if f == nil {
-		fail("%s is missing", key)
-	}
-	if f.Type() != fastjson.TypeObject {
-		fail("%s: want an object, have %s", key, f.Type())
+		field.Fail("no such event")
 	}
-	return f
 }
