Room for long messages is waited for, and a node's last word counts without ReadyForQuery

At fault: ring.Need, trip.exchange (no look at what had been said once the read failed), Nodes.Reach, client.query, desk.wake and conn.live.

--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -11,11 +11,10 @@
 // Contract is the module's contract, and what its doors need beside it.
 type Contract struct {
 	balance.Contract
-	Names      map[string]int // of the tariffs
-	HardLimits []int64        // by tariff: how long a client waits in all
-	Zero       int64          // of positions on the simulator's wire
-	Place      bool           // reports give the node's position
-	Role       bool           // and whether it is the primary
+	Names map[string]int // of the tariffs
+	Zero  int64          // of positions on the simulator's wire
+	Place bool           // reports give the node's position
+	Role  bool           // and whether it is the primary
 }
 
 // Read makes a contract of the settings. It leaves by a field.Malformed.
@@ -69,7 +68,6 @@
 			t.Bound = n * 1000
 		}
 		c.Tariffs = append(c.Tariffs, t)
-		c.HardLimits = append(c.HardLimits, us(v, "deadlineUs", false))
 	}
 	return c
 }
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -109,7 +109,13 @@
 // Time is the same moment for deadlines of sockets.
 func (d *Desk) Time(now int64) time.Time { return d.start.Add(time.Duration(now - d.unix)) }
 
+// wake has no connection whose end a panic could be; the alarm goes on all the same.
 func (d *Desk) wake() {
+	defer func() {
+		if p := recover(); p != nil {
+			d.log.Error("the alarm's task failed", zap.Any("panic", p), zap.Stack("stack"))
+		}
+	}()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.router.Wake(d.Now())
--- a/internal/intake/client.go
+++ b/internal/intake/client.go
@@ -28,10 +28,13 @@
 	intake  *Intake
 	sock    net.Conn
 	in, out *ring.Ring
+	need    int // bytes that the message at the front takes, as far as known
+	held    int // bytes of the job's query, kept so that they count as long as it does
 
-	busy      atomic.Bool  // a job of it is not answered yet
-	waiting   atomic.Bool  // more has come meanwhile
-	idleSince atomic.Int64 // 0 while anything is in hand or half read, closing once the intake ends it
+	busy      atomic.Bool   // a job of it is not answered yet
+	waiting   atomic.Bool   // more has come meanwhile
+	free      chan struct{} // told when it is answered while more waits
+	idleSince atomic.Int64  // 0 while anything is in hand or half read, closing once the intake ends it
 
 	readAt int64 // when the last bytes came
 	life   *job.Life
@@ -58,7 +61,8 @@
 	for {
 		var err error
 		for more := true; more && err == nil && !c.busy.Load(); {
-			if started {
+			c.in.Discard(c.held)
+			if c.held = 0; started {
 				more, err = c.message()
 			} else {
 				started, more, err = c.startup()
@@ -77,11 +81,22 @@
 // messages may be silent as long as it likes.
 func (c *client) read() error {
 	var until time.Time
-	c.waiting.Store(c.in.Len() > 0)
+	busy := c.busy.Load()
+	c.waiting.Store(c.in.Len() > c.held || c.held > firstRing) // a long query's room goes back at its end
 	switch {
-	case c.busy.Load():
+	case busy:
+		if c.in.Room() == 0 { // the next queries wait outside
+			if c.waiting.Store(true); c.busy.Load() {
+				<-c.free
+			}
+			return nil
+		}
 	case c.in.Len() > 0:
 		until = time.Now().Add(c.intake.patience)
+		if err := c.in.Need(c.need, until); err != nil {
+			c.refuse(pg.NoMemory, "no memory for so long a message")
+			return err
+		}
 	default:
 		c.idleSince.Store(c.intake.desk.Now())
 		if c.intake.isLeaving() {
@@ -89,7 +104,7 @@
 		}
 	}
 	c.sock.SetReadDeadline(until)
-	if c.waiting.Load() && !c.busy.Load() && until.IsZero() {
+	if busy && !c.busy.Load() {
 		return nil // the job ended just now: its wake may have come before the deadline was set
 	}
 	_, err := c.in.Fill(c.sock)
@@ -110,10 +125,12 @@
 		c.refuse(pg.BadProtocol, "malformed startup packet")
 		return false, false, err
 	}
+	if what == pg.Incomplete {
+		c.need = size
+		return false, false, nil
+	}
 	c.in.Discard(size)
 	switch what {
-	case pg.Incomplete:
-		return false, false, nil
 	case pg.Version3:
 		return true, true, c.say(pg.AppendWelcome(nil))
 	case pg.Encryption:
@@ -133,7 +150,8 @@
 		c.refuse(pg.BadProtocol, "malformed message")
 		return false, err
 	}
-	if size == 0 {
+	if kind == 0 {
+		c.need = size
 		return false, nil
 	}
 	if c.skip && kind != 'S' && kind != 'X' {
@@ -142,7 +160,10 @@
 	}
 	switch kind {
 	case 'Q':
-		err = c.query(body)
+		if err = c.query(body); c.busy.Load() {
+			c.held = size
+			return false, err
+		}
 	case 'X':
 		return false, errEnd
 	case 'S':
@@ -189,11 +210,17 @@
 	if !ok {
 		return c.wrong(pg.StrangeValue, "unknown cluster in the comment")
 	}
+	if terms := &c.intake.contract.Tariffs[t]; terms.Repeat == balance.Numbered && !s.Marked {
+		return c.wrong(pg.StrangeValue, "this class wants k in the comment")
+	}
 	if s.Write != (c.intake.contract.Tariffs[t].Need == balance.Write) {
 		return c.wrong(pg.StrangeValue, "this class wants the other kind of statement")
 	}
 	// What the query has waited here counts against its client's time.
 	wait := s.Wait*int64(time.Millisecond) - (c.intake.desk.Now() - c.readAt)
+	if c.idleSince.Swap(0) == closing {
+		return errEnd
+	}
 	c.busy.Store(true)
 	c.life = job.Begin(c.intake.desk, job.Ask{Tariff: t, Group: g, Session: s.Session, Wait: wait,
 		After: s.After * int64(time.Millisecond)}, c, trip.Cargo{Nodes: c.intake.nodes, Statement: s})
@@ -255,6 +282,10 @@
 	c.busy.Store(false)
 	if c.waiting.Load() || c.intake.isLeaving() {
 		c.sock.SetReadDeadline(past)
+		select {
+		case c.free <- struct{}{}:
+		default:
+		}
 	}
 }
 
--- a/internal/pg/answer.go
+++ b/internal/pg/answer.go
@@ -78,6 +78,16 @@
 	a.Value = end(append(a.Value, body...), at)
 }
 
+// Settled tells that the node has said how the query ended, though its connection broke before ReadyForQuery:
+// after a fatal error none has to come.
+func (a *Answer) Settled() bool {
+	if a.Whole || !a.complete && a.state == "" {
+		return a.Whole
+	}
+	a.Ending = a.ended()
+	return true
+}
+
 // ended maps the states of the protocol page's table.
 func (a *Answer) ended() balance.Ending {
 	switch a.state {
--- a/internal/pg/message.go
+++ b/internal/pg/message.go
@@ -15,7 +15,8 @@
 const (
 	mostValue   = 64 << 10
 	MostMessage = 2*mostValue + 8<<10
-	mostStartup = 10000 // as the server bounds it
+	mostStartup = 4096
+	headSize    = 5
 )
 
 // What a startup packet may ask for, beside version 3.
@@ -29,23 +30,22 @@
 // ErrMalformed ends the connection that it came over.
 var ErrMalformed = errors.New("pg: malformed message")
 
-// Message is the message at the front of a buffer, or none if it is not whole yet. Its body is valid until
-// the buffer changes; size is what to discard.
+// Message is the message at the front of a buffer. If it is not whole yet, its kind is 0, and size is how much
+// the buffer has to hold for it, or for its head. The body is valid until the buffer changes.
 func Message(r *ring.Ring) (kind byte, body []byte, size int, err error) {
-	if r.Len() < 5 {
-		return 0, nil, 0, nil
+	if r.Len() < headSize {
+		return 0, nil, headSize, nil
 	}
-	head := r.Front(5)
+	head := r.Front(headSize)
 	kind = head[0]
 	n := int(int32(binary.BigEndian.Uint32(head[1:])))
-	if n < 4 || n > MostMessage {
+	if kind == 0 || n < headSize-1 || n >= MostMessage {
 		return 0, nil, 0, ErrMalformed
 	}
-	size = n + 1
-	if r.Len() < size {
-		return 0, nil, 0, r.Need(size)
+	if size = n + 1; r.Len() < size {
+		return 0, nil, size, nil
 	}
-	return kind, r.Front(size)[5:], size, nil
+	return kind, r.Front(size)[headSize:], size, nil
 }
 
 // Opening is what a client begins with.
@@ -60,10 +60,10 @@
 	Strange    // another version
 )
 
-// Startup is the startup packet at the front of a buffer.
+// Startup is the startup packet at the front of a buffer, with sizes as for Message.
 func Startup(r *ring.Ring) (what Opening, size int, err error) {
 	if r.Len() < 8 {
-		return Incomplete, 0, nil
+		return Incomplete, 8, nil
 	}
 	head := r.Front(8)
 	size = int(int32(binary.BigEndian.Uint32(head)))
@@ -71,7 +71,7 @@
 		return Incomplete, 0, ErrMalformed
 	}
 	if r.Len() < size {
-		return Incomplete, 0, r.Need(size)
+		return Incomplete, size, nil
 	}
 	switch code := binary.BigEndian.Uint32(head[4:]); {
 	case code == versionThree:
@@ -130,6 +130,7 @@
 // The states of errors that routers word themselves.
 const (
 	turnedAway   = "53300" // too_many_connections: a retry is harmless
+	NoMemory     = "53200" // out_of_memory
 	givenUp      = "57014" // query_canceled: no promise
 	StrangeForm  = "42601" // syntax_error
 	StrangeValue = "22023" // invalid_parameter_value
--- a/internal/pg/statement.go
+++ b/internal/pg/statement.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"errors"
 	"math"
+	"net"
 	"strconv"
 )
 
@@ -16,6 +18,7 @@
 	Group   int64
 	After   int64 // position that the read must see, in Unix milliseconds; 0: none
 	Write   bool
+	Marked  bool // carries the mark by which repeats are discarded
 
 	text       []byte
 	from, upTo int // where the time stands
@@ -104,6 +107,8 @@
 				return false
 			}
 			id = true
+		case "k":
+			s.Marked = len(value) > 0
 		case "c":
 			if s.Tariff != "" {
 				return false
@@ -138,15 +143,18 @@
 	return int64(n), err == nil
 }
 
-// AppendQuery is the message that goes to a node, with the time that the router will wait.
-func (s *Statement) AppendQuery(b []byte, wait int64) []byte {
-	b, at := begin(b, 'Q')
-	b = append(b, s.text[:s.from]...)
-	b = strconv.AppendInt(b, wait, 10)
-	b = append(b, s.text[s.upTo:]...)
-	return end(append(b, 0), at)
+// Query is the message that goes to a node, with the time that the router will wait; in pieces, so that a
+// long statement does not stand in memory twice.
+func (s *Statement) Query(wait int64) net.Buffers {
+	head, _ := begin(make([]byte, 0, headSize), 'Q')
+	tail := strconv.AppendInt(nil, wait, 10)
+	binary.BigEndian.PutUint32(head[1:], uint32(headSize-1+s.from+len(tail)+len(s.text)-s.upTo+1))
+	return net.Buffers{head, s.text[:s.from], tail, s.text[s.upTo:], {0}}
 }
 
+// Len is how long the statement is.
+func (s *Statement) Len() int { return len(s.text) }
+
 // Empty tells whether a query holds no statement.
 func Empty(text []byte) bool { return len(bytes.Trim(text, " \t\r\n;")) == 0 }
 
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -2,9 +2,12 @@
 package ring
 
 import (
+	"context"
 	"errors"
 	"io"
-	"sync"
+	"time"
+
+	"golang.org/x/sync/semaphore"
 )
 
 // ErrFull tells that more was to be kept than the buffer, or the budget of all buffers, may hold.
@@ -12,31 +15,26 @@
 
 // Budget bounds what all buffers that share it hold beyond their first size.
 type Budget struct {
-	mu   sync.Mutex
-	left int
+	bytes int64
+	left  *semaphore.Weighted
 }
 
 // NewBudget is a budget of so many bytes.
-func NewBudget(bytes int) *Budget { return &Budget{left: bytes} }
+func NewBudget(bytes int64) *Budget { return &Budget{bytes, semaphore.NewWeighted(bytes)} }
 
-func (b *Budget) take(n int) bool {
-	if b == nil {
+// take waits until so many bytes are free, or the time has come.
+func (b *Budget) take(n int64, until time.Time) bool {
+	if b == nil || b.left.TryAcquire(n) {
 		return true
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.left < n {
-		return false
-	}
-	b.left -= n
-	return true
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	return n <= b.bytes && b.left.Acquire(ctx, n) == nil
 }
 
-func (b *Budget) give(n int) {
+func (b *Budget) give(n int64) {
 	if b != nil && n > 0 {
-		b.mu.Lock()
-		b.left += n
-		b.mu.Unlock()
+		b.left.Release(n)
 	}
 }
 
@@ -46,7 +44,7 @@
 	at, held    int
 	first, most int
 	budget      *Budget
-	beyond      int // bytes had from the budget
+	beyond      int64 // bytes had from the budget
 }
 
 // New is an empty buffer that begins with the first size and never holds more than the most.
@@ -57,22 +55,30 @@
 // Len is how many bytes it holds.
 func (r *Ring) Len() int { return r.held }
 
-// Need makes room so that it can hold so many bytes in all.
-func (r *Ring) Need(n int) error {
+// Room is how many bytes more it can hold as it is.
+func (r *Ring) Room() int { return max(len(r.buf), r.first) - r.held }
+
+// Need makes room so that it can hold so many bytes in all. It waits until the given time for the budget;
+// what it already has of that goes back meanwhile, so that buffers don't wait for each other.
+func (r *Ring) Need(n int, until time.Time) error {
 	if n <= len(r.buf) {
 		return nil
 	}
-	size := r.first
+	size, beyond := r.first, int64(0)
 	if n > r.first {
-		size = min(r.most, max(n, 2*len(r.buf)))
-		if n > r.most || !r.budget.take(size-r.first-r.beyond) {
+		if n > r.most {
+			return ErrFull
+		}
+		size, beyond = n, int64(n-r.first)
+		r.budget.give(r.beyond)
+		r.beyond = 0
+		if !r.budget.take(beyond, until) {
 			return ErrFull
 		}
-		r.beyond = size - r.first
 	}
 	larger := make([]byte, size)
 	r.copyTo(larger)
-	r.buf, r.at = larger, 0
+	r.buf, r.at, r.beyond = larger, 0, beyond
 	return nil
 }
 
@@ -116,12 +122,13 @@
 	r.buf, r.at, r.held, r.beyond = nil, 0, 0, 0
 }
 
-// Fill reads once from the source into the room left.
+// Fill reads once from the source into the room left; Need makes more.
 func (r *Ring) Fill(from io.Reader) (int, error) {
+	if r.buf == nil {
+		r.Need(r.first, time.Time{})
+	}
 	if r.held == len(r.buf) {
-		if err := r.Need(r.held + 1); err != nil {
-			return 0, err
-		}
+		return 0, ErrFull
 	}
 	end := r.at + r.held
 	room := r.buf[min(end, len(r.buf)):]
@@ -133,9 +140,9 @@
 	return n, err
 }
 
-// Write puts bytes behind those held.
+// Write puts bytes behind those held. It does not wait for the budget.
 func (r *Ring) Write(p []byte) (int, error) {
-	if err := r.Need(r.held + len(p)); err != nil {
+	if err := r.Need(r.held+len(p), time.Time{}); err != nil {
 		return 0, err
 	}
 	end := r.at + r.held
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -98,7 +98,7 @@
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(p.Cores))))
 	heap := int64(heapShare * float64(p.Memory))
 	debug.SetMemoryLimit(heap)
-	budget := ring.NewBudget(int(valuesShare * float64(heap)))
+	budget := ring.NewBudget(int64(valuesShare * float64(heap)))
 	shared := max(2, p.Descriptors-ownDescriptors)
 	clients := max(1, int(clientsShare*float64(shared)))
 
--- a/internal/trip/conn.go
+++ b/internal/trip/conn.go
@@ -29,6 +29,7 @@
 	sock    net.Conn
 	in, out *ring.Ring
 	since   time.Time // since when it is idle
+	carries *order    // whose ending is not told yet
 
 	// Under the lock of nodes.
 	order     *order
@@ -40,14 +41,22 @@
 
 // live opens the connection and carries one order after the other.
 func (c *conn) live(o *order) {
-	defer c.ended()
+	defer func() {
+		if p := recover(); p != nil {
+			c.nodes.log.Error("a node connection's task failed", zap.Any("panic", p), zap.Stack("stack"))
+		}
+		if c.ended(); c.carries != nil {
+			c.finish(c.carries, balance.Broken, &pg.Answer{})
+		}
+	}()
+	c.carries = o
 	up := o.sent.Add(c.nodes.connect)
 	if o.until.Before(up) {
 		up = o.until
 	}
 	if !c.comeUp(o, up) {
 		c.close()
-		o.end(job.End{Ending: c.unsent(o)})
+		c.finish(o, c.unsent(o), &pg.Answer{})
 		return
 	}
 	for o != nil {
@@ -102,25 +111,35 @@
 	}
 	for {
 		kind, _, size, err := pg.Message(c.in)
-		if err != nil || kind == 'E' && size > 0 {
+		if err != nil || kind == 'E' {
 			return false
 		}
-		if size > 0 {
-			c.in.Discard(size)
-			if kind == 'Z' {
-				return true
+		if kind == 0 {
+			if c.more(size, until) != nil {
+				return false
 			}
 			continue
 		}
-		if _, err := c.in.Fill(sock); err != nil {
-			return false
+		c.in.Discard(size)
+		if kind == 'Z' {
+			return true
 		}
 	}
 }
 
+// more reads on, towards so many bytes in all.
+func (c *conn) more(size int, until time.Time) error {
+	if err := c.in.Need(size, until); err != nil {
+		return err
+	}
+	_, err := c.in.Fill(c.sock)
+	return err
+}
+
 // carry sends an order and waits for its answer. It tells whether the connection can be used again; if not,
 // it is closed before the ending is told.
 func (c *conn) carry(o *order) bool {
+	c.carries = o
 	ending, answer := c.exchange(o)
 	if answer.Whole || ending == balance.Moot { // nothing is on the way over it
 		c.finish(o, ending, answer)
@@ -135,6 +154,7 @@
 }
 
 func (c *conn) finish(o *order, ending balance.Ending, a *pg.Answer) {
+	c.carries = nil
 	o.carriedBy(nil)
 	e := job.End{Ending: ending, Note: a.Note, Report: a.Report, Value: a.Value}
 	if o.statement == nil && ending == balance.Done {
@@ -147,58 +167,53 @@
 // whole.
 func (c *conn) exchange(o *order) (balance.Ending, *pg.Answer) {
 	a := &pg.Answer{}
-	c.sock.SetDeadline(o.until)
-	if !o.carriedBy(c.sock) {
+	if !o.carriedBy(c.sock) || !time.Now().Before(o.until) {
 		return balance.Moot, a
 	}
-	var query []byte
-	if o.statement == nil {
-		query = pg.AppendVitals(nil)
-	} else {
-		left := time.Until(o.until).Milliseconds()
-		if left <= 0 {
-			return balance.Moot, a
-		}
-		query = o.statement.AppendQuery(nil, left)
-	}
-	// Straight from the message if it is large, so that it does not stand in memory twice.
-	if err := c.send(query); err != nil {
+	c.sock.SetDeadline(o.until)
+	if err := c.send(o); err != nil {
 		return balance.Unreachable, a // the last byte was never written
 	}
 	for {
 		kind, body, size, err := pg.Message(c.in)
-		if err == nil && size > 0 {
+		switch {
+		case err != nil:
+		case kind == 0:
+			err = c.more(size, o.until)
+		default:
 			err = a.Take(kind, body)
-			c.in.Discard(size)
-			if a.Whole && err == nil {
+			if c.in.Discard(size); a.Whole && err == nil {
 				return a.Ending, a
 			}
-			if err == nil {
-				continue
-			}
 		}
-		if err == nil {
-			_, err = c.in.Fill(c.sock)
-		}
-		if err == nil {
+		switch {
+		case err == nil:
 			continue
-		}
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			return balance.TimedOut, a
-		}
-		if errors.Is(err, pg.ErrMalformed) {
+		case errors.Is(err, pg.ErrMalformed):
 			c.nodes.log.Warn("a node answered nonsense", zap.String("node", c.node.name))
+		case a.Settled():
+			return a.Ending, a
+		case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, ring.ErrFull):
+			return balance.TimedOut, a
 		}
 		return balance.Broken, a
 	}
 }
 
-func (c *conn) send(query []byte) error {
-	if len(query) > firstRing {
-		_, err := c.sock.Write(query)
+// send writes the whole query, or fails. A long one goes straight from where it is.
+func (c *conn) send(o *order) error {
+	if o.statement == nil {
+		c.out.Write(pg.AppendVitals(nil))
+		return c.out.Flush(c.sock)
+	}
+	query := o.statement.Query(max(1, time.Until(o.until).Milliseconds()))
+	if o.statement.Len() > firstRing/2 {
+		_, err := query.WriteTo(c.sock)
 		return err
 	}
-	c.out.Write(query)
+	for _, piece := range query {
+		c.out.Write(piece)
+	}
 	return c.out.Flush(c.sock)
 }
 
@@ -242,7 +257,7 @@
 func (c *conn) idleMessages() error {
 	for {
 		kind, _, size, err := pg.Message(c.in)
-		if err != nil || size == 0 {
+		if err != nil || kind == 0 && size <= firstRing {
 			return err
 		}
 		if kind != 'S' && kind != 'N' {
--- a/internal/trip/nodes.go
+++ b/internal/trip/nodes.go
@@ -58,6 +58,9 @@
 		s.nodes = append(s.nodes, &node{})
 	}
 	m := s.nodes[n]
+	if address == "" { // a node that leaves may be named without one
+		address = m.address
+	}
 	if m.address != address && m.address != "" {
 		m.closeIdle()
 	}
@@ -136,8 +139,8 @@
 	s.open++
 	address := m.address
 	s.mu.Unlock()
-	c := &conn{nodes: s, node: m, address: address, in: ring.New(firstRing, pg.MostMessage+1, s.budget),
-		out: ring.New(firstRing, pg.MostMessage+1, s.budget)}
+	c := &conn{nodes: s, node: m, address: address, in: ring.New(firstRing, pg.MostMessage, s.budget),
+		out: ring.New(firstRing, pg.MostMessage, s.budget)}
 	go c.live(o)
 }
 
