Long queries no longer keep the memory that their answers need

Seen: 450 clients that each send a value of 64 KiB at once; most were answered only by their time running out. A dump of all tasks showed the clients' buffers holding the whole budget while node connections waited for a part of it; a second cause was left after the first was mended: a job that ended between the reader's two looks at `busy` left its query in the buffer until the next one came. Ruled out: the nodes (they had answered), the module's room (jobs without room were bounced at once). At fault: service.start (one budget for both sides), client.read (went on to wait with c.held above 0). TestLongValues fails on either fault alone.

--- a/cmd/sedgestream/main_test.go
+++ b/cmd/sedgestream/main_test.go
@@ -206,6 +206,9 @@
 			}
 		case <-f.cut:
 			return
+		case <-time.After(time.Second): // nothing has changed
+			io.WriteString(w, "\n")
+			w.(http.Flusher).Flush()
 		case <-r.Context().Done():
 			return
 		}
@@ -634,6 +637,34 @@
 	}
 }
 
+// Long values on many connections at once wait for each other's memory, and all get their answers.
+func TestLongValues(t *testing.T) {
+	n := newNode(t, "source")
+	value, let := strings.Repeat("v", 64<<10), make(chan struct{})
+	n.job = func(b *pgproto3.Backend, c net.Conn, _ string) { <-let; n.row(b, value) }
+	f := newFleet(t, n)
+	f.limits = `{"cores":1,"memory_mb":24,"sockets":512}` // for some twenty at a time
+	f.start()
+	long := strings.Replace(change("order", 20000), `\x9f03`, `\x`+strings.Repeat("ab", 64<<10), 1)
+	answers := make(chan string)
+	for range 100 {
+		c := f.open("")
+		c.expect("empty")
+		go func() {
+			c.Send(&pgproto3.Query{String: long})
+			c.Flush()
+			answers <- c.answer()
+		}()
+	}
+	until(t, "a job at the node", func() bool { return len(n.got()) > 0 })
+	close(let)
+	for range 100 {
+		if a := <-answers; a != value && a != "53300" {
+			t.Fatalf("answered %.80q", a)
+		}
+	}
+}
+
 func TestTornMessage(t *testing.T) {
 	f := newFleet(t, newNode(t, "source"))
 	f.contract = strings.Replace(contract, `"keepaliveUs":30000000`, `"keepaliveUs":300000`, 1)
--- a/internal/intake/client.go
+++ b/internal/intake/client.go
@@ -82,6 +82,9 @@
 func (c *client) read() error {
 	var until time.Time
 	busy := c.busy.Load()
+	if !busy && c.held > 0 {
+		return nil // the job ended just now, and what it held goes back first
+	}
 	c.waiting.Store(c.in.Len() > c.held || c.held > firstRing) // a long query's room goes back at its end
 	switch {
 	case busy:
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -98,14 +98,15 @@
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(p.Cores))))
 	heap := int64(heapShare * float64(p.Memory))
 	debug.SetMemoryLimit(heap)
-	budget := ring.NewBudget(int64(valuesShare * float64(heap)))
+	// One each: a long query keeps its room until its answer has come, which takes room too.
+	values := int64(valuesShare / 2 * float64(heap))
 	shared := max(2, p.Descriptors-ownDescriptors)
 	clients := max(1, int(clientsShare*float64(shared)))
 
 	// On sockets the list always has to be asked for.
 	terms := c.Contract
 	terms.ListOnAsking = true
-	s.nodes = trip.New(&terms, trip.Limits{Connections: shared - clients, Budget: budget}, s.log)
+	s.nodes = trip.New(&terms, trip.Limits{Connections: shared - clients, Budget: ring.NewBudget(values)}, s.log)
 	s.desk = desk.Open(&terms, p.Seed, s.nodes, s.log)
 	s.nodes.Desk = s.desk
 	s.list = &list.Lister{Address: p.Discovery, Connect: time.Duration(terms.ConnectTimeout), Desk: s.desk, Log: s.log}
@@ -120,7 +121,7 @@
 	if err != nil {
 		return err
 	}
-	s.intake = intake.New(listener, c, s.desk, s.nodes, intake.Limits{Connections: clients, Budget: budget}, s.log)
+	s.intake = intake.New(listener, c, s.desk, s.nodes, intake.Limits{Connections: clients, Budget: ring.NewBudget(values)}, s.log)
 	s.task(s.carryOut)
 	s.task(s.intake.Serve)
 	return nil
