The life of a job stands in one function; later minor versions of the protocol are answered

job.Begin holds the steps of a job from top to bottom, with the points at which the module chooses. A client that asks for protocol 3.2, as newer libraries do, is told that 3.0 is spoken; before, its connection was refused. New tests: a late ending or leaving of an old job does not reach the next one at its place; connections that a node ends while idle cost no job; a panic in the alarm ends nothing.

--- a/cmd/sedgestream/main_test.go
+++ b/cmd/sedgestream/main_test.go
@@ -429,6 +429,28 @@
 	if err := c.Close(ctx); err != nil {
 		t.Error(err)
 	}
+	later := f.dial()
+	later.Send(&pgproto3.StartupMessage{ProtocolVersion: 196610, Parameters: map[string]string{"user": "worker"}})
+	later.Flush()
+	if m, err := later.Receive(); err != nil || fmt.Sprintf("%T", m) != "*pgproto3.NegotiateProtocolVersion" {
+		t.Errorf("version 3.2 was answered by %T, %v", m, err)
+	}
+	later.expect("")
+}
+
+// A connection that a node ends while it is idle costs no job anything.
+func TestNodeEndsIdleConnections(t *testing.T) {
+	n := newNode(t, "source")
+	n.job = func(b *pgproto3.Backend, c net.Conn, _ string) { n.row(b, "v"); c.Close() }
+	f := newFleet(t, n).start()
+	c := f.open("")
+	c.expect("empty")
+	before := f.descriptors()
+	for range 5 {
+		c.ask(change("once", 20000))
+		c.expect("v")
+		until(t, "the connection to end", func() bool { return f.descriptors() <= before+1 }) // one of a probe may stay
+	}
 }
 
 func TestStrangeInput(t *testing.T) {
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -13,12 +13,12 @@
 	"sedgestream/balance"
 )
 
-// Task carries out what the module orders for one job. Orders come one at a time, in the job's own task.
-type Task interface {
-	Send(leg, node int, until int64)
-	Revoke(leg int)
-	Bounce(stayAway int64)
-	Terminate()
+// Task is how the module's orders for one job are carried out: one at a time, in the job's own task.
+type Task struct {
+	Send      func(leg, node int, until int64)
+	Revoke    func(leg int)
+	Bounce    func(stayAway int64)
+	Terminate func()
 }
 
 // Nodes is where trips learn how to reach a node.
@@ -281,23 +281,23 @@
 // Submit implements balance.Outside.
 func (d *Desk) Submit(p balance.Place, node int, until int64) {
 	s := &d.seats[p]
-	leg, task := s.legs, s.task
+	leg, send := s.legs, s.task.Send
 	s.legs++
-	d.put(p, func() { task.Send(leg, node, until) })
+	d.put(p, func() { send(leg, node, until) })
 }
 
 // Revoke implements balance.Outside.
 func (d *Desk) Revoke(p balance.Place, leg int) {
-	task := d.seats[p].task
-	d.put(p, func() { task.Revoke(leg) })
+	revoke := d.seats[p].task.Revoke
+	d.put(p, func() { revoke(leg) })
 }
 
 // Bounce implements balance.Outside.
 func (d *Desk) Bounce(p balance.Place, stayAway int64) {
 	s := &d.seats[p]
 	s.over = true
-	task := s.task
-	d.put(p, func() { task.Bounce(stayAway) })
+	bounce := s.task.Bounce
+	d.put(p, func() { bounce(stayAway) })
 }
 
 // Terminate implements balance.Outside.
--- /dev/null
+++ b/internal/desk/desk_test.go
@@ -0,0 +1,65 @@
+package desk
+
+import (
+	"testing"
+
+	"go.uber.org/zap"
+
+	"sedgestream/balance"
+)
+
+type nowhere struct{}
+
+func (nowhere) Reach(int, string, string) {}
+
+// What comes late from a job that is over never reaches the next job at its place, and each job gets its orders
+// only.
+func TestPlaceIsReused(t *testing.T) {
+	c := &balance.Contract{Tick: 1e6, MaxTrips: 2, ConnectTimeout: 1e9, KeepAlive: 1e9, Tariffs: []balance.Tariff{
+		{Need: balance.Write, Repeat: balance.AtMostOnce, ContractTime: 1e9, Earnings: 1}}}
+	d := Open(c, 1, nowhere{}, zap.NewNop())
+	d.List(true, []Row{{ID: "a", Weight: 1, Group: 7, Primary: true}})
+	g, ok := d.Group(7)
+	if _, other := d.Group(8); !ok || other {
+		t.Fatal("groups", ok, other)
+	}
+	take := func(said *string) *Ticket {
+		return d.Take(Task{Send: func(leg, node int, until int64) { *said += "sent " },
+			Bounce: func(int64) { *said += "bounced " }, Terminate: func() { *said += "terminated " }}, 0, g, 0, 1e9, 0)
+	}
+	var first, second string
+	a := take(&first)
+	if a.Ended(0, balance.Broken, 1, balance.Note{}, balance.Report{}) {
+		t.Error("a broken trip's answer is for the client")
+	}
+	b := take(&second)
+	if a.place != b.place {
+		t.Fatal("another place: nothing is tested")
+	}
+	a.Left()
+	a.Work()
+	if !b.Ended(0, balance.Done, 1, balance.Note{Role: balance.Primary}, balance.Report{}) {
+		t.Error("the second job's answer is not for its client")
+	}
+	b.Work()
+	if first != "sent terminated " || second != "sent " {
+		t.Errorf("first %q, second %q", first, second)
+	}
+	if b.Ended(0, balance.Done, 1, balance.Note{}, balance.Report{}) {
+		t.Error("a second answer")
+	}
+}
+
+// A panic of the module in the alarm does not end the program.
+func TestWakeFails(t *testing.T) {
+	d := Open(&balance.Contract{Tariffs: []balance.Tariff{{ContractTime: 1e9}}}, 1, nowhere{}, zap.NewNop())
+	router := d.router
+	d.mu.Lock()
+	d.router = nil
+	d.mu.Unlock()
+	d.wake()
+	d.mu.Lock()
+	d.router = router
+	d.mu.Unlock()
+	d.wake()
+}
--- a/internal/intake/client.go
+++ b/internal/intake/client.go
@@ -11,17 +11,13 @@
 	"go.uber.org/zap"
 
 	"sedgestream/balance"
+	"sedgestream/internal/desk"
 	"sedgestream/internal/job"
 	"sedgestream/internal/pg"
 	"sedgestream/internal/ring"
 	"sedgestream/internal/trip"
 )
 
-// firstRing is the least a buffer begins with: a page of memory.
-const firstRing = 4096
-
-var past = time.Unix(1, 0)
-
 // client is a connection from a client. Its goroutine reads all the time, so that a client that goes is
 // noticed; while a job is in hand, that job's task writes. Further queries wait in the buffer.
 type client struct {
@@ -36,9 +32,9 @@
 	free      chan struct{} // told when it is answered while more waits
 	idleSince atomic.Int64  // 0 while anything is in hand or half read, closing once the intake ends it
 
-	readAt int64 // when the last bytes came
-	life   *job.Life
-	skip   bool // until Sync, after an error in the extended protocol
+	readAt int64        // when the last bytes came
+	ticket *desk.Ticket // of the job in hand
+	skip   bool         // until Sync, after an error in the extended protocol
 }
 
 const closing = -1
@@ -50,8 +46,8 @@
 		if p := recover(); p != nil {
 			c.intake.log.Error("a connection's task failed", zap.Any("panic", p), zap.Stack("stack"))
 		}
-		if c.busy.Load() && c.life != nil {
-			c.life.Left()
+		if c.busy.Load() && c.ticket != nil {
+			c.ticket.Left()
 		}
 		c.sock.Close()
 		c.in.Free()
@@ -85,7 +81,7 @@
 	if !busy && c.held > 0 {
 		return nil // the job ended just now, and what it held goes back first
 	}
-	c.waiting.Store(c.in.Len() > c.held || c.held > firstRing) // a long query's room goes back at its end
+	c.waiting.Store(c.in.Len() > c.held || c.held > ring.First) // a long query's room goes back at its end
 	switch {
 	case busy:
 		if c.in.Room() == 0 { // the next queries wait outside
@@ -136,6 +132,8 @@
 	switch what {
 	case pg.Version3:
 		return true, true, c.say(pg.AppendWelcome(nil))
+	case pg.Version3Later:
+		return true, true, c.say(pg.AppendNegotiate(nil), pg.AppendWelcome(nil))
 	case pg.Encryption:
 		return false, true, c.say([]byte{'N'})
 	case pg.Strange:
@@ -225,20 +223,20 @@
 		return errEnd
 	}
 	c.busy.Store(true)
-	c.life = job.Begin(c.intake.desk, job.Ask{Tariff: t, Group: g, Session: s.Session, Wait: wait,
+	c.ticket = job.Begin(c.intake.desk, job.Ask{Tariff: t, Group: g, Session: s.Session, Wait: wait,
 		After: s.After * int64(time.Millisecond)}, c, trip.Cargo{Nodes: c.intake.nodes, Statement: s})
-	go c.work(c.life)
+	go c.work(c.ticket)
 	return nil
 }
 
-func (c *client) work(l *job.Life) {
+func (c *client) work(t *desk.Ticket) {
 	defer func() {
 		if p := recover(); p != nil {
 			c.intake.log.Error("a job's task failed", zap.Any("panic", p), zap.Stack("stack"))
 			c.sock.Close()
 		}
 	}()
-	l.Live()
+	t.Work()
 }
 
 func (c *client) wrong(state, words string) error {
@@ -249,14 +247,14 @@
 func (c *client) say(parts ...[]byte) error {
 	c.sock.SetWriteDeadline(time.Now().Add(c.intake.patience))
 	for _, p := range parts {
-		if len(p) > firstRing { // straight from where it is, so that it does not stand in memory twice
+		if len(p) > ring.First { // straight from where it is, so that it does not stand in memory twice
 			if err := c.out.Flush(c.sock); err != nil {
 				return err
 			}
 			if _, err := c.sock.Write(p); err != nil {
 				return err
 			}
-		} else if c.out.Write(p); c.out.Len() > firstRing {
+		} else if c.out.Write(p); c.out.Len() > ring.First {
 			if err := c.out.Flush(c.sock); err != nil {
 				return err
 			}
@@ -284,7 +282,7 @@
 	}
 	c.busy.Store(false)
 	if c.waiting.Load() || c.intake.isLeaving() {
-		c.sock.SetReadDeadline(past)
+		c.sock.SetReadDeadline(ring.Past)
 		select {
 		case c.free <- struct{}{}:
 		default:
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -163,8 +163,8 @@
 }
 
 func newClient(t *Intake, sock net.Conn) *client {
-	c := &client{intake: t, sock: sock, free: make(chan struct{}, 1), in: ring.New(firstRing, pg.MostMessage, t.budget),
-		out: ring.New(firstRing, pg.MostMessage, t.budget)}
+	c := &client{intake: t, sock: sock, free: make(chan struct{}, 1), in: ring.New(ring.First, pg.MostMessage, t.budget),
+		out: ring.New(ring.First, pg.MostMessage, t.budget)}
 	c.idleSince.Store(t.desk.Now())
 	return c
 }
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -42,48 +42,33 @@
 	After         int64 // position that it must see, or 0
 }
 
-// Life is a job in hand.
-type Life struct {
-	ticket *desk.Ticket
-	client Client
-	sender Sender
-	trips  []Trip
-}
+// Begin takes a job in. Its life is what follows here, from top to bottom: the module decides at the points
+// that are marked, and its orders are carried out one by one in the job's task, which is the ticket's Work.
+func Begin(d *desk.Desk, ask Ask, client Client, sender Sender) (ticket *desk.Ticket) {
+	var task desk.Task
+	var trips []Trip
 
-// Begin takes a job in. Live has to follow.
-func Begin(d *desk.Desk, ask Ask, client Client, sender Sender) *Life {
-	l := &Life{client: client, sender: sender}
-	l.ticket = d.Take(l, ask.Tariff, ask.Group, ask.Session, ask.Wait, ask.After)
-	return l
-}
+	// The module has chosen a node, now or after a while, and once more if a trip has brought nothing or
+	// waits for too long.
+	task.Send = func(leg, node int, until int64) {
+		trips = append(trips, sender.Send(node, until, func(e End) {
+			ticket.Post(func() {
+				// An ending is the module's to judge: another trip, an answer, or nothing as one has been given.
+				if ticket.Ended(leg, e.Ending, e.Took, e.Note, e.Report) {
+					client.Done(e.Value)
+				}
+			})
+		}))
+	}
 
-// Live is the job's task: it waits for the module's orders and carries them out one by one, hands it the
-// endings of trips, and returns when the module has no more to do with the job. The steps follow in the
-// order in which a job meets them.
-func (l *Life) Live() { l.ticket.Work() }
+	// A trip is called off. It ends all the same, as above.
+	task.Revoke = func(leg int) { trips[leg].Revoke() }
 
-// Left tells that the client has gone. It may come at any time, also after the job's end.
-func (l *Life) Left() { l.ticket.Left() }
+	// The module has given up: the client is told that a retry is harmless, or nothing of the kind.
+	task.Bounce = client.Bounced
+	task.Terminate = client.Terminated
 
-// Send sends a trip to where the module chose.
-func (l *Life) Send(leg, node int, until int64) {
-	l.trips = append(l.trips, l.sender.Send(node, until, func(e End) {
-		l.ticket.Post(func() { l.ended(leg, e) })
-	}))
+	// The first choice is made while the job is taken in: a node, a wait, or the end.
+	ticket = d.Take(task, ask.Tariff, ask.Group, ask.Session, ask.Wait, ask.After)
+	return ticket
 }
-
-// Revoke calls a trip off.
-func (l *Life) Revoke(leg int) { l.trips[leg].Revoke() }
-
-// ended hands an ending to the module, which may order more, and the value to the client if it is the first.
-func (l *Life) ended(leg int, e End) {
-	if l.ticket.Ended(leg, e.Ending, e.Took, e.Note, e.Report) {
-		l.client.Done(e.Value)
-	}
-}
-
-// Bounce tells the client that a retry is harmless.
-func (l *Life) Bounce(stayAway int64) { l.client.Bounced(stayAway) }
-
-// Terminate tells the client that the job is given up.
-func (l *Life) Terminate() { l.client.Terminated() }
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -35,7 +35,6 @@
 const (
 	mostLine   = 1 << 20
 	mostHeader = 16 << 10
-	firstRing  = 4096
 )
 
 // List is one answer's entries.
@@ -147,18 +146,18 @@
 	if !up(sock) {
 		return net.ErrClosed
 	}
-	out := ring.New(firstRing, firstRing, nil)
+	out := ring.New(ring.First, ring.First, nil)
 	fmt.Fprintf(out, "GET %s HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n", target, l.Address)
 	sock.SetWriteDeadline(time.Now().Add(l.Connect))
 	if err := out.Flush(sock); err != nil {
 		return err
 	}
-	in := &source{sock: sock, ring: ring.New(firstRing, firstRing, nil), silence: silence}
+	in := &source{sock: sock, ring: ring.New(ring.First, ring.First, nil), silence: silence}
 	body, err := answer(bufio.NewReader(in))
 	if err != nil {
 		return err
 	}
-	lines := bufio.NewReaderSize(body, firstRing)
+	lines := bufio.NewReaderSize(body, ring.First)
 	var line []byte
 	for {
 		part, err := lines.ReadSlice('\n')
--- a/internal/pg/message.go
+++ b/internal/pg/message.go
@@ -55,9 +55,10 @@
 const (
 	Incomplete Opening = iota
 	Version3
-	Encryption // to be answered with N
-	Cancel     // to be closed
-	Strange    // another version
+	Version3Later // a minor version that is not spoken here
+	Encryption    // to be answered with N
+	Cancel        // to be closed
+	Strange       // another version
 )
 
 // Startup is the startup packet at the front of a buffer, with sizes as for Message.
@@ -76,6 +77,8 @@
 	switch code := binary.BigEndian.Uint32(head[4:]); {
 	case code == versionThree:
 		return Version3, size, nil
+	case code>>16 == versionThree>>16:
+		return Version3Later, size, nil
 	case code == sslRequest || code == gssRequest:
 		return Encryption, size, nil
 	case code == cancelRequest:
@@ -115,6 +118,12 @@
 	return AppendReady(b)
 }
 
+// AppendNegotiate answers a later minor version: 3.0 is spoken, and none of the options that came with it is known.
+func AppendNegotiate(b []byte) []byte {
+	b, at := begin(b, 'v')
+	return end(append(b, 0, 0, 0, 0, 0, 0, 0, 0), at)
+}
+
 // AppendReady tells that the next query may come.
 func AppendReady(b []byte) []byte { return append(b, 'Z', 0, 0, 0, 5, 'I') }
 
--- a/internal/pg/pg_test.go
+++ b/internal/pg/pg_test.go
@@ -200,7 +200,7 @@
 		bytes []byte
 		what  Opening
 	}{{AppendStartup(nil), Version3}, {packet(80877103, ""), Encryption}, {packet(80877104, ""), Encryption},
-		{packet(80877102, "12345678"), Cancel}, {packet(2<<16, "x"), Strange}} {
+		{packet(80877102, "12345678"), Cancel}, {packet(2<<16, "x"), Strange}, {packet(3<<16|2, "x"), Version3Later}} {
 		r := ring.New(64, 64, nil)
 		for i, b := range c.bytes {
 			if what, _, err := Startup(r); what != Incomplete || err != nil {
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -10,6 +10,12 @@
 	"golang.org/x/sync/semaphore"
 )
 
+// First is the size that a connection's buffers begin with: a page of memory.
+const First = 4096
+
+// Past is a deadline that has gone by. Set on a socket, it wakes the task that reads there.
+var Past = time.Unix(1, 0)
+
 // ErrFull tells that more was to be kept than the buffer, or the budget of all buffers, may hold.
 var ErrFull = errors.New("ring: full")
 
--- a/internal/trip/conn.go
+++ b/internal/trip/conn.go
@@ -14,12 +14,6 @@
 	"sedgestream/internal/ring"
 )
 
-// firstRing is the least a buffer begins with: a page of memory.
-const firstRing = 4096
-
-// past is a deadline that has gone by.
-var past = time.Unix(1, 0)
-
 // conn is a connection to a node. It lives in a goroutine of its own, which reads from it all the time: an
 // order for it comes by a deadline that wakes the read.
 type conn struct {
@@ -37,7 +31,7 @@
 	uncounted bool
 }
 
-func (c *conn) poke() { c.sock.SetReadDeadline(past) }
+func (c *conn) poke() { c.sock.SetReadDeadline(ring.Past) }
 
 // live opens the connection and carries one order after the other.
 func (c *conn) live(o *order) {
@@ -207,7 +201,7 @@
 		return c.out.Flush(c.sock)
 	}
 	query := o.statement.Query(max(1, time.Until(o.until).Milliseconds()))
-	if o.statement.Len() > firstRing/2 {
+	if o.statement.Len() > ring.First/2 {
 		_, err := query.WriteTo(c.sock)
 		return err
 	}
@@ -257,7 +251,7 @@
 func (c *conn) idleMessages() error {
 	for {
 		kind, _, size, err := pg.Message(c.in)
-		if err != nil || kind == 0 && size <= firstRing {
+		if err != nil || kind == 0 && size <= ring.First {
 			return err
 		}
 		if kind != 'S' && kind != 'N' {
--- a/internal/trip/nodes.go
+++ b/internal/trip/nodes.go
@@ -139,8 +139,8 @@
 	s.open++
 	address := m.address
 	s.mu.Unlock()
-	c := &conn{nodes: s, node: m, address: address, in: ring.New(firstRing, pg.MostMessage, s.budget),
-		out: ring.New(firstRing, pg.MostMessage, s.budget)}
+	c := &conn{nodes: s, node: m, address: address, in: ring.New(ring.First, pg.MostMessage, s.budget),
+		out: ring.New(ring.First, pg.MostMessage, s.budget)}
 	go c.live(o)
 }
 
@@ -197,7 +197,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.revoked = true; o.sock != nil {
-		o.sock.SetDeadline(past)
+		o.sock.SetDeadline(ring.Past)
 	}
 }
 
