--- a/cmd/sedgestream/main_test.go
+++ b/cmd/sedgestream/main_test.go
@@ -446,6 +446,7 @@
 	f := newFleet(t, n).start()
 	c := f.open("")
 	c.expect("empty")
+	<-f.watches
 	before := f.descriptors()
 	for range 5 {
 		c.ask(change("once", 20000))
@@ -551,6 +552,7 @@
 	let := make(chan struct{})
 	n.job = func(b *pgproto3.Backend, c net.Conn, _ string) { <-let; c.Close() }
 	f := newFleet(t, n).start()
+	<-f.watches
 	before := f.descriptors()
 	c := f.open(change("order", 20000))
 	until(t, "the job at the node", func() bool { return len(n.got()) == 1 })
