--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -13,7 +13,6 @@
 
 	"go.uber.org/zap"
 
-	"sedgestream/balance"
 	"sedgestream/internal/desk"
 	"sedgestream/internal/intake"
 	"sedgestream/internal/list"
@@ -183,5 +182,3 @@
 	s.nodes.Close()
 	s.tasks.Wait()
 }
-
-var _ balance.Outside = (*desk.Desk)(nil)
--- a/internal/service/start.go
+++ b/internal/service/start.go
@@ -58,7 +58,11 @@
 		Discovery: or("discovery", "ROUTER_DISCOVERY"), PeerListen: field.Str(v, "peer_listen", false),
 		PeersAll: field.Str(v, "peers_all", false), Cores: usualCores, Memory: usualMemory << 20,
 		Descriptors: usualDescriptors}
-	for _, a := range []struct{ what, address string }{{"listen", p.Listen}, {"discovery", p.Discovery}} {
+	for _, a := range []struct{ what, address string }{{"listen", p.Listen}, {"discovery", p.Discovery},
+		{"peer_listen", p.PeerListen}} {
+		if a.address == "" && a.what == "peer_listen" {
+			continue
+		}
 		to, err := netip.ParseAddrPort(a.address)
 		if err != nil || !to.Addr().IsLoopback() {
 			field.Fail("%s: %q is no loopback address with a port", a.what, a.address)
