--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 # Every parser of a wire, for as long as it is let; FUZZ=1m make fuzz
 fuzz:
 	go test -run '^$$' -fuzz FuzzParsers -fuzztime $${FUZZ:-30s} ./internal/pg
+	go test -run '^$$' -fuzz FuzzDiscovery -fuzztime $${FUZZ:-30s} ./internal/list
 
 # One router by the configuration that ROUTER_CONFIG names; see README.md.
 run: build
--- a/internal/list/list_test.go
+++ b/internal/list/list_test.go
@@ -63,3 +63,25 @@
 		}
 	}
 }
+
+// Whatever discovery sends, nothing panics, and a body never grows beyond what came.
+func FuzzDiscovery(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nline\r\n0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nline"))
+	f.Add([]byte(`{"version":41,"full":true,"servers":[` + entry + `]}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if body, err := answer(bufio.NewReader(strings.NewReader(string(b)))); err == nil {
+			if got, _ := io.ReadAll(body); len(got) > len(b) {
+				t.Errorf("%d bytes out of %d", len(got), len(b))
+			}
+		}
+		if v, err := fastjson.ParseBytes(b); err == nil {
+			l, err := Read(v)
+			for _, w := range l.Rows {
+				if err == nil && (w.ID == "" || w.Weight < 0 || w.Started < 0) {
+					t.Errorf("%q was taken as %+v", b, w)
+				}
+			}
+		}
+	})
+}
