A late wake no longer ends a client's connection in the middle of a message

Seen by reading client.read and client.answered: the task of an answered job wakes the reader after it has set `busy` to false. The reader may by then have read on by itself and wait for the rest of a message; the wake then looked like its time-out, and the connection ended with the query half read. TestLateWake fails without the change. A wake before the time is up now only makes the reader look again.

--- a/internal/intake/client.go
+++ b/internal/intake/client.go
@@ -115,8 +115,8 @@
 		}
 		c.intake.changed() // a query that has been read is served; another connection may end for this one
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) && until.IsZero() {
-		return nil
+	if errors.Is(err, os.ErrDeadlineExceeded) && (until.IsZero() || time.Now().Before(until)) {
+		return nil // woken, be it for what is over by now
 	}
 	c.readAt = c.intake.desk.Now()
 	return err
--- a/internal/intake/client_test.go
+++ b/internal/intake/client_test.go
@@ -50,3 +50,27 @@
 		}
 	}
 }
+
+// A wake that comes late, from the job before, does not end a connection in the middle of a message.
+func TestLateWake(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	c := newClient(&Intake{desk: desk.Open(&balance.Contract{}, 1, nil, zap.NewNop()), patience: time.Minute}, near)
+	go far.Write([]byte{'Q', 0, 0})
+	if err := c.read(); err != nil || c.in.Len() != 3 {
+		t.Fatal(err, c.in.Len())
+	}
+	got := make(chan error)
+	go func() { got <- c.read() }()
+	for {
+		select {
+		case err := <-got:
+			if err != nil {
+				t.Error(err)
+			}
+			return
+		default:
+			near.SetReadDeadline(ring.Past)
+		}
+	}
+}
