--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -85,3 +85,13 @@
 	field.Fail("%q is none of %q", word, known)
 	return 0
 }
+
+// Index numbers ids in the order in which they come.
+func Index[K comparable](m map[K]int, k K) int {
+	i, ok := m[k]
+	if !ok {
+		i = len(m)
+		m[k] = i
+	}
+	return i
+}
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"sedgestream/balance"
+	"sedgestream/internal/contract"
 )
 
 // Task is how the module's orders for one job are carried out: one at a time, in the job's own task.
@@ -203,28 +204,17 @@
 	now := d.Now()
 	d.router.Listing(whole)
 	for _, w := range rows {
-		n, ok := d.ids[w.ID]
-		if !ok {
-			n = len(d.names)
-			d.ids[w.ID] = n
+		n := contract.Index(d.ids, w.ID)
+		if n == len(d.names) {
 			d.names = append(d.names, w.ID)
 		}
 		d.nodes.Reach(n, w.ID, w.Address)
-		d.router.Member(now, n, index(d.groups, w.Group), index(d.zones, w.Zone), crc32.ChecksumIEEE([]byte(w.ID)),
+		d.router.Member(now, n, contract.Index(d.groups, w.Group), contract.Index(d.zones, w.Zone), crc32.ChecksumIEEE([]byte(w.ID)),
 			w.Standing, w.Weight, w.Started, w.Primary)
 	}
 	d.router.Listed(now)
 }
 
-func index[K comparable](m map[K]int, k K) int {
-	i, ok := m[k]
-	if !ok {
-		i = len(m)
-		m[k] = i
-	}
-	return i
-}
-
 // ListFailed tells that asking for the list failed, or that the watch ended.
 func (d *Desk) ListFailed() {
 	d.mu.Lock()
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -37,16 +37,6 @@
 	h.router = balance.Open(&c.Contract, uint64(field.Whole(e, "initSeed", false)), h, h.now)
 }
 
-// index numbers ids in the order in which they come.
-func index[K comparable](m map[K]int, k K) int {
-	i, ok := m[k]
-	if !ok {
-		i = len(m)
-		m[k] = i
-	}
-	return i
-}
-
 func (h *host) roster(e *fastjson.Value, s *server) {
 	kind := field.Str(e, "kind", true)
 	switch kind {
@@ -59,11 +49,11 @@
 	}
 	h.router.Listing(kind != "patch")
 	for _, w := range s.lists[s.buffer(e)] {
-		n := index(h.nodes, w.node)
+		n := contract.Index(h.nodes, w.node)
 		if n == len(h.names) {
 			h.names = append(h.names, w.node)
 		}
-		h.router.Member(h.now, n, index(h.groups, w.group), index(h.zones, w.zone), crc32.ChecksumIEEE([]byte(w.node)),
+		h.router.Member(h.now, n, contract.Index(h.groups, w.group), contract.Index(h.zones, w.zone), crc32.ChecksumIEEE([]byte(w.node)),
 			w.standing, w.weight, w.launched, w.primary)
 	}
 	h.router.Listed(h.now)
@@ -87,7 +77,7 @@
 		h.ids = append(h.ids, 0)
 	}
 	h.ids[p], h.places[id] = id, p
-	h.router.Take(h.now, p, t, index(h.groups, field.Whole(e, "setNo", false)), session, field.Whole(e, "budgetUs", true)*1000,
+	h.router.Take(h.now, p, t, contract.Index(h.groups, field.Whole(e, "setNo", false)), session, field.Whole(e, "budgetUs", true)*1000,
 		int64(math.Floor(field.Number(e, "wroteMsAgo", 0)*1e6)))
 }
 
