SIGHUP reads the configuration again and moves to discovery's new address

Cause: cmd/sedgestream/main.go asked for SIGTERM and SIGINT only, so the default action of SIGHUP ended the program. Two more faults that a handler alone would have met, by reading: internal/list dropped lists whose version is below the one known (line()), although another discovery may count otherwise; and a new address would have been asked only at the module's next try, which after failures is up to 7.5 s away, while 4 s are allowed.

A file that is missing, torn or wrong is logged and changes nothing. Signals to stop and to reload have a channel each, as a reload could have kept the other out of one place.

TestReload fails on the program before (it ends at SIGHUP) and passes now.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,6 +1,6 @@
 // Package balance decides where each job goes, when it goes again and how it ends. To call it: Open a
-// router, tell it the list (Listing, Member, Listed, ListFailed), its jobs (Seat, Take, Left), the
-// endings of their trips (Ended) and of probes (Probed), and its alarm (Wake). It answers by calls on
+// router, tell it the list (Listing, Member, Listed, ListFailed, ListMoved), its jobs (Seat, Take, Left),
+// the endings of their trips (Ended) and of probes (Probed), and its alarm (Wake). It answers by calls on
 // Outside; that interface and the contract stand in types.go, what a router keeps in state.go.
 //
 // The ordinary path is that of docs/design.md. Beside the design stand six mechanisms:
@@ -44,12 +44,11 @@
 // Open starts a router.
 func Open(c *Contract, seed uint64, out Outside, now int64) *Router {
 	r := &Router{out: out, chance: chance(seed&0x7fffffffffff | 1<<32 | 1), maxTrips: c.MaxTrips,
-		second: c.SecondTrips, probes: c.Probes, check: c.NodesCheck, asking: c.ListOnAsking,
-		carried: c.SessionsCarried, asideFor: 4 * c.ConnectTimeout, grace: c.DrainGrace / 2,
-		coldFor: c.ColdFor, span: max(c.FallSpan, 1), startShare: c.StartShare,
-		perSpan: coldPart * c.FallMultiple, away: c.LongestAbsence, leastBackoff: c.AskEvery / 20,
-		goneMayServe: c.GoneMayServe, keep: c.KeepAlive, peers: c.RoutersTalk, me: c.Me, marks: map[uint32][]int32{},
-		young: map[uint64]int64{}, old: map[uint64]int64{}}
+		second: c.SecondTrips, probes: c.Probes, check: c.NodesCheck, asking: c.ListOnAsking, me: c.Me,
+		carried: c.SessionsCarried, asideFor: 4 * c.ConnectTimeout, grace: c.DrainGrace / 2, coldFor: c.ColdFor,
+		span: max(c.FallSpan, 1), startShare: c.StartShare, perSpan: coldPart * c.FallMultiple,
+		away: c.LongestAbsence, leastBackoff: c.AskEvery / 20, goneMayServe: c.GoneMayServe, peers: c.RoutersTalk,
+		keep: c.KeepAlive, marks: map[uint32][]int32{}, young: map[uint64]int64{}, old: map[uint64]int64{}}
 	shortest, best, bound := int64(math.MaxInt64), 0.0, int64(math.MaxInt64)
 	for _, t := range c.Tariffs {
 		shortest = min(shortest, t.ContractTime)
@@ -69,16 +68,20 @@
 	}
 	r.refresh, r.period, r.fade, r.shared = r.useful*4/5, 2*shortest, 4*shortest, opened
 	r.listen(now)
-	r.backoff, r.watchAt = r.leastBackoff, now+r.chance.below(r.leastBackoff)
+	r.ListMoved(now)
 	out.Alarm(r.sweep)
 	return r
 }
 
+// ListMoved has the list asked for anew, at a random moment soon.
+func (r *Router) ListMoved(now int64) {
+	r.backoff, r.watchAt = r.leastBackoff, now+r.chance.below(r.leastBackoff)
+}
+
 // ListFailed tells that asking for the list failed, or that the watch broke. The next try comes later
 // each time and at a random moment, so that routers that start or fail together don't ask together.
 func (r *Router) ListFailed(now int64) {
-	r.watchAt = now + r.backoff/2 + r.chance.below(r.backoff)
-	r.backoff = min(2*r.backoff, 10*r.leastBackoff)
+	r.watchAt, r.backoff = now+r.backoff/2+r.chance.below(r.backoff), min(2*r.backoff, 10*r.leastBackoff)
 }
 
 // probe asks a node for its report, unless a probe of it is out.
--- a/cmd/sedgestream/main.go
+++ b/cmd/sedgestream/main.go
@@ -16,9 +16,11 @@
 func main() {
 	log, err := zap.NewProduction()
 	if err == nil {
-		signals := make(chan os.Signal, 1)
-		signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-		err = service.New(log).Run(signals)
+		// Each has room of its own, so that no reload keeps the word to stop out.
+		stops, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
+		signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+		signal.Notify(reloads, syscall.SIGHUP)
+		err = service.New(log, reloads).Run(stops)
 		log.Sync()
 	}
 	if err != nil {
--- a/cmd/sedgestream/main_test.go
+++ b/cmd/sedgestream/main_test.go
@@ -158,6 +158,7 @@
 	changes  chan string   // lines for the watch that stands
 	cut      chan struct{} // ends it
 	address  string
+	path     string // of the configuration
 	peer     *net.UDPConn
 	cmd      *exec.Cmd
 	log      strings.Builder
@@ -192,9 +193,14 @@
 }
 
 func (f *fleet) discovery(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != "/discovery/hosts" || r.FormValue("stream") != "1" {
+	if r.URL.Path != "/discovery/hosts" {
 		f.t.Errorf("discovery was asked for %s", r.URL)
 	}
+	if r.FormValue("stream") != "1" {
+		f.watches <- "whole"
+		fmt.Fprintf(w, `{"version":2,"full":true,"servers":[%s]}`, f.entries())
+		return
+	}
 	w.WriteHeader(200)
 	w.(http.Flusher).Flush()
 	f.watches <- r.FormValue("index")
@@ -229,6 +235,7 @@
 	return strings.Join(s, ",")
 }
 
+// configure writes the configuration, and gives the environment that names it.
 func (f *fleet) configure() []string {
 	var settings any
 	if err := json.Unmarshal([]byte(f.contract), &settings); err != nil {
@@ -239,12 +246,14 @@
 "peer_listen":"127.0.0.1:0","peers":["127.0.0.1:9",%q],"peers_all":%q,
 "known":{"version":7,"full":true,"servers":[%s]},"settings":%s}`, f.list.Addr, f.limits, f.peer.LocalAddr(),
 		f.peer.LocalAddr(), f.entries(), s)
-	path := filepath.Join(f.t.TempDir(), "config.json")
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+	if f.path == "" {
+		f.path = filepath.Join(f.t.TempDir(), "config.json")
+	}
+	if err := os.WriteFile(f.path, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
 	// Where the file lacks a value the environment has it.
-	return append(os.Environ(), asRouter+"=1", "ROUTER_CONFIG="+path, "ROUTER_LISTEN=127.0.0.1:0")
+	return append(os.Environ(), asRouter+"=1", "ROUTER_CONFIG="+f.path, "ROUTER_LISTEN=127.0.0.1:0")
 }
 
 // start starts the program and waits until it serves.
@@ -264,7 +273,10 @@
 			f.mu.Unlock()
 			var line struct{ Msg, Listen string }
 			if json.Unmarshal(lines.Bytes(), &line) == nil && line.Msg == "serving" {
-				serving <- line.Listen
+				select {
+				case serving <- line.Listen:
+				default: // again, after a reload
+				}
 			}
 		}
 		f.exit <- f.cmd.Wait()
@@ -287,12 +299,14 @@
 	return f
 }
 
-func (f *fleet) logged(words string) bool {
+func (f *fleet) lines() string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return strings.Contains(f.log.String(), words)
+	return f.log.String()
 }
 
+func (f *fleet) logged(words string) bool { return strings.Contains(f.lines(), words) }
+
 // descriptors is how many the router has open.
 func (f *fleet) descriptors() int {
 	d, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", f.cmd.Process.Pid))
@@ -777,6 +791,58 @@
 	f.open(view(20000)).expect("from copy")
 }
 
+// A reload under load: the list is asked for at the new address, which counts its versions otherwise, and the watch at
+// the old one ends. A wrong file changes nothing, and no job notices.
+func TestReload(t *testing.T) {
+	primary, replica := pair(t)
+	let := make(chan struct{})
+	primary.job = func(b *pgproto3.Backend, c net.Conn, _ string) { <-let; primary.row(b, "at last") }
+	f, moved := newFleet(t, primary, replica).start(), newFleet(t, primary, replica)
+	if at := <-f.watches; at != "7" {
+		t.Fatalf("the watch begins at %s", at)
+	}
+	held, c := f.open(change("once", 20000)), f.open(view(20000))
+	c.expect("from copy")
+	for _, wrong := range []string{"", "{", `{"discovery":"10.0.0.1:1"}`} {
+		before := strings.Count(f.lines(), "the configuration is wrong")
+		os.WriteFile(f.path, []byte(wrong), 0o600)
+		f.cmd.Process.Signal(syscall.SIGHUP)
+		until(t, "the wrong file to be refused", func() bool {
+			return strings.Count(f.lines(), "the configuration is wrong") == before+1
+		})
+	}
+	old := f.list.Addr
+	f.list.Addr = moved.list.Addr
+	f.configure()
+	f.cmd.Process.Signal(syscall.SIGHUP)
+	for _, want := range []string{"whole", "2"} {
+		if at := <-moved.watches; at != want {
+			t.Fatalf("the new discovery was asked for %s, want %s", at, want)
+		}
+	}
+	moved.changes <- `{"version":3,"full":false,"servers":[` + f.entries("up", "draining") + "]}\n"
+	until(t, "jobs to leave the draining node", func() bool {
+		before := len(replica.got())
+		for range 10 {
+			c.ask(view(200))
+			c.answer()
+		}
+		return len(replica.got()) == before
+	})
+	f.list.Addr = old // and back, while it stops
+	f.configure()
+	f.cmd.Process.Signal(syscall.SIGTERM)
+	f.cmd.Process.Signal(syscall.SIGHUP)
+	if at := <-f.watches; at != "whole" {
+		t.Errorf("the old discovery was asked for %s", at)
+	}
+	close(let)
+	held.expect("at last")
+	if err := <-f.exit; err != nil {
+		t.Error(err)
+	}
+}
+
 func TestBadConfiguration(t *testing.T) {
 	for _, c := range [][2]string{{`"sendCap":3`, `"sendCap":"three"`}, {`"mutate"`, `"mutated"`}, {`"limits"`, `"limit"`}} {
 		f := newFleet(t, newNode(t, "source"))
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -222,6 +222,13 @@
 	d.router.ListFailed(d.Now())
 }
 
+// ListMoved tells that the list is asked for elsewhere from now on.
+func (d *Desk) ListMoved() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.router.ListMoved(d.Now())
+}
+
 // Probed tells of a probe's result.
 func (d *Desk) Probed(node int, ok bool, rep balance.Report) {
 	d.mu.Lock()
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -74,50 +74,92 @@
 	return l, nil
 }
 
-// Lister asks one discovery.
+// Lister asks discovery, at one address at a time.
 type Lister struct {
-	Address string
-	Connect time.Duration // for a connection to come up
-	Desk    *desk.Desk
-	Log     *zap.Logger
+	connect time.Duration // for a connection to come up
+	desk    *desk.Desk
+	log     *zap.Logger
 
-	mu      sync.Mutex
+	mu    sync.Mutex
+	at    *place // nil once closed
+	watch net.Conn
+}
+
+// place is one address of discovery, until it moves. Versions are counted by each on its own.
+type place struct {
+	address string
 	version int64
-	watch   net.Conn
-	closed  bool
+	strange bool // it has not told the whole list yet
 }
 
-// Known tells the list that the router had before it started.
-func (l *Lister) Known(known List) {
-	l.version = known.Version
-	l.Desk.List(true, known.Rows)
+// New tells the list that the router had before it started.
+func New(address string, known List, connect time.Duration, d *desk.Desk, log *zap.Logger) *Lister {
+	d.List(true, known.Rows)
+	return &Lister{connect: connect, desk: d, log: log, at: &place{address: address, version: known.Version}}
 }
 
-// Watch follows the changes until the watch ends, and tells the module then.
+// Move has the list asked for at another address from now on. What is still on the way from the old one is dropped.
+func (l *Lister) Move(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.at == nil || l.at.address == address {
+		return
+	}
+	l.at = &place{address: address, strange: true}
+	l.endWatch()
+	l.desk.ListMoved()
+}
+
+func (l *Lister) endWatch() {
+	if l.watch != nil {
+		l.watch.Close()
+		l.watch = nil
+	}
+}
+
+// Watch follows the changes until the watch ends, and tells the module then. A discovery that has just become the one
+// to ask tells the whole list first: it may count its versions otherwise than the one before.
 func (l *Lister) Watch() {
-	err := l.follow(fmt.Sprintf("%s?stream=1&index=%d", path, l.at()), func(sock net.Conn) bool {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		if l.watch = sock; l.closed {
-			return false
-		}
-		return true
-	})
 	l.mu.Lock()
-	l.watch = nil
-	closed := l.closed
+	at := l.at
+	strange := at != nil && at.strange
 	l.mu.Unlock()
-	if !closed {
-		l.Log.Warn("the watch on the list ended", zap.Error(err))
-		l.Desk.ListFailed()
+	if at == nil {
+		return
 	}
+	err := io.EOF
+	if strange {
+		err = l.follow(at, path, false)
+	}
+	if err == io.EOF {
+		l.mu.Lock()
+		target := fmt.Sprintf("%s?stream=1&index=%d", path, at.version)
+		l.mu.Unlock()
+		err = l.follow(at, target, true)
+	}
+	l.failed(at, "the watch on the list ended", err)
 }
 
 // Lookup asks once for the whole list.
 func (l *Lister) Lookup() {
-	if err := l.follow(path, func(net.Conn) bool { return true }); err != nil && err != io.EOF {
-		l.Log.Warn("asking for the list failed", zap.Error(err))
-		l.Desk.ListFailed()
+	l.mu.Lock()
+	at := l.at
+	l.mu.Unlock()
+	if at == nil {
+		return
+	}
+	if err := l.follow(at, path, false); err != nil && err != io.EOF {
+		l.failed(at, "asking for the list failed", err)
+	}
+}
+
+// failed tells the module, unless nobody asks there any more.
+func (l *Lister) failed(at *place, words string, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.at == at {
+		l.log.Warn(words, zap.Error(err))
+		l.desk.ListFailed()
 	}
 }
 
@@ -125,30 +167,33 @@
 func (l *Lister) Close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.closed = true; l.watch != nil {
-		l.watch.Close()
-	}
+	l.at = nil
+	l.endWatch()
 }
 
-func (l *Lister) at() int64 {
+// stands tells whether the list is still asked for there; a watch is then the one that Close and Move end.
+func (l *Lister) stands(at *place, sock net.Conn, watch bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.version
+	if l.at == at && watch {
+		l.watch = sock
+	}
+	return l.at == at
 }
 
 // follow sends one request and takes in each line of its answer.
-func (l *Lister) follow(target string, up func(net.Conn) bool) error {
-	sock, err := net.DialTimeout("tcp", l.Address, l.Connect)
+func (l *Lister) follow(at *place, target string, watch bool) error {
+	sock, err := net.DialTimeout("tcp", at.address, l.connect)
 	if err != nil {
 		return err
 	}
 	defer sock.Close()
-	if !up(sock) {
+	if !l.stands(at, sock, watch) {
 		return net.ErrClosed
 	}
 	out := ring.New(ring.First, ring.First, nil)
-	fmt.Fprintf(out, "GET %s HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n", target, l.Address)
-	sock.SetWriteDeadline(time.Now().Add(l.Connect))
+	fmt.Fprintf(out, "GET %s HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n", target, at.address)
+	sock.SetWriteDeadline(time.Now().Add(l.connect))
 	if err := out.Flush(sock); err != nil {
 		return err
 	}
@@ -171,7 +216,7 @@
 			return err // a torn line is not looked at
 		}
 		if text := strings.TrimSpace(string(line)); text != "" {
-			l.line(text)
+			l.line(at, text)
 		}
 		if line = line[:0]; err != nil {
 			return err
@@ -197,23 +242,23 @@
 }
 
 // line takes in one list. A wrong one is logged, and the last list stands.
-func (l *Lister) line(text string) {
+func (l *Lister) line(at *place, text string) {
 	v, err := fastjson.Parse(text)
 	var list List
 	if err == nil {
 		list, err = Read(v)
 	}
 	if err != nil {
-		l.Log.Warn("a line from discovery is wrong", zap.Error(err))
+		l.log.Warn("a line from discovery is wrong", zap.Error(err))
 		return
 	}
 	l.mu.Lock()
-	old := list.Version < l.version // of a call overtaken by the watch
-	l.version = max(l.version, list.Version)
-	l.mu.Unlock()
-	if !old {
-		l.Desk.List(list.Whole, list.Rows)
+	defer l.mu.Unlock()
+	if list.Version < at.version || l.at != at { // of a call overtaken by the watch, or from where nobody asks any more
+		return
 	}
+	at.version, at.strange = list.Version, at.strange && !list.Whole
+	l.desk.List(list.Whole, list.Rows)
 }
 
 // answer reads the head of an HTTP answer and gives its body.
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -28,6 +28,7 @@
 const (
 	Starting  Phase = "starting"  // reads what it is told, opens its addresses
 	Serving   Phase = "serving"   // takes all that comes
+	Reloading Phase = "reloading" // reads the configuration again, and goes back to the phase it was in
 	Leaving   Phase = "leaving"   // was told to stop; still takes what comes, as the front does not know yet
 	Finishing Phase = "finishing" // takes nothing new; answers what it has
 	Gone      Phase = "gone"
@@ -54,6 +55,7 @@
 	log     *zap.Logger
 	posting *Posting
 	phase   Phase
+	reloads <-chan os.Signal
 	desk    *desk.Desk
 	nodes   *trip.Nodes
 	intake  *intake.Intake
@@ -63,23 +65,52 @@
 	tasks   sync.WaitGroup
 }
 
-// New is a service that has not started.
-func New(log *zap.Logger) *Service { return &Service{log: log, stop: make(chan struct{})} }
+// New is a service that has not started. Each word of reloads has it read its configuration again.
+func New(log *zap.Logger, reloads <-chan os.Signal) *Service {
+	return &Service{log: log, reloads: reloads, stop: make(chan struct{})}
+}
 
 func (s *Service) enter(p Phase, fields ...zap.Field) {
 	s.phase = p
 	s.log.Info(string(p), fields...)
 }
 
-// Run serves until one of the signals has come and all that was taken has been answered.
-func (s *Service) Run(signals <-chan os.Signal) error {
+// stay keeps to the phase until its end is told; the configuration may be read again meanwhile.
+func stay[T any](s *Service, end <-chan T) T {
+	for {
+		select {
+		case v := <-end:
+			return v
+		case <-s.reloads:
+			s.reload()
+		}
+	}
+}
+
+// reload reads the configuration again. Only where discovery is can change while the router runs; jobs in hand notice
+// nothing. A file that is missing, torn or wrong changes nothing either.
+func (s *Service) reload() {
+	was := s.phase
+	s.enter(Reloading)
+	p, err := ReadPosting(os.Getenv)
+	if err != nil {
+		s.log.Warn("the configuration is wrong, the one before stands", zap.Error(err))
+	} else {
+		s.posting.Discovery = p.Discovery
+		s.list.Move(p.Discovery)
+	}
+	s.enter(was, zap.String("discovery", s.posting.Discovery))
+}
+
+// Run serves until one of the stops has come and all that was taken has been answered.
+func (s *Service) Run(stops <-chan os.Signal) error {
 	s.enter(Starting)
 	if err := s.start(); err != nil {
 		return err
 	}
 	s.enter(Serving, zap.String("name", s.posting.Name), zap.String("listen", s.intake.Address()),
 		zap.Int("nodes", len(s.posting.Known.Rows)))
-	sig := <-signals
+	sig := stay(s, stops)
 	begun := time.Now()
 	s.enter(Leaving, zap.Stringer("signal", sig), zap.Int("clients", s.intake.Clients()), zap.Int("in hand", s.desk.InHand()))
 	s.leave(begun)
@@ -108,8 +139,7 @@
 	s.nodes = trip.New(&terms, trip.Limits{Connections: shared - clients, Budget: ring.NewBudget(values)}, s.log)
 	s.desk = desk.Open(&terms, p.Seed, s.nodes, s.log)
 	s.nodes.Desk = s.desk
-	s.list = &list.Lister{Address: p.Discovery, Connect: time.Duration(terms.ConnectTimeout), Desk: s.desk, Log: s.log}
-	s.list.Known(p.Known)
+	s.list = list.New(p.Discovery, p.Known, time.Duration(terms.ConnectTimeout), s.desk, s.log)
 	if terms.RoutersTalk && p.PeerListen != "" {
 		if s.peers, err = peer.Listen(p.PeerListen, p.Peers, p.PeersAll, terms.Me, s.desk, s.log); err != nil {
 			return fmt.Errorf("peer_listen: %w", err)
@@ -165,15 +195,20 @@
 
 // leave goes on as before while new connections may come, then has clients go elsewhere as they become idle.
 func (s *Service) leave(begun time.Time) {
-	time.Sleep(time.Until(begun.Add(stillComing)))
+	stay(s, time.After(time.Until(begun.Add(stillComing))))
 	s.intake.Leave()
-	time.Sleep(time.Until(begun.Add(stillOwed)))
+	stay(s, time.After(time.Until(begun.Add(stillOwed))))
 }
 
 // finish waits for what is in hand. Each job ends by its hard limit, so this does too.
 func (s *Service) finish() {
 	s.intake.Close()
-	s.intake.Wait()
+	answered := make(chan struct{})
+	go func() {
+		s.intake.Wait()
+		close(answered)
+	}()
+	stay(s, answered)
 	close(s.stop)
 	s.list.Close()
 	if s.peers != nil {
