Clients that do not ask make room first, have 2 s, and hold no other client out

The report counts 944 connections that never sent a whole request: more than the places of both routers. Lines at fault: internal/intake/intake.go, closeOldest() passed over connections that had not asked yet, so Serve() waited for room that nothing made; internal/intake/client.go, read() gave them the keep-alive time (30 s) for a first query, for the rest of a message, and to read, and set it anew with each byte.

Where places are short those that have not asked end first, oldest first, then the idle ones. Before any connection ends by a deadline its socket is looked at once more (ring.Pending), so nothing that has come goes unread. An id that a job in hand has is an error (22023) for others.

--- a/internal/intake/client.go
+++ b/internal/intake/client.go
@@ -31,12 +31,15 @@
 	waiting   atomic.Bool   // more has come meanwhile
 	free      chan struct{} // told when it is answered while more waits
 	idleSince atomic.Int64  // 0 while anything is in hand or half read, closing once it is to end
+	asked     atomic.Bool   // it has sent a query; until then it is idle from its coming
 
-	readAt int64        // when the last bytes came
-	ticket *desk.Ticket // of the job in hand
-	asked  bool         // it has sent a query, or has had its time to
-	spare  bool         // there was no room for it when it came
-	skip   bool         // until Sync, after an error in the extended protocol
+	came, readAt int64        // when the connection came, and its last bytes
+	begun        time.Time    // when the message at the front began; the first query begins as the connection comes
+	late         bool         // that message has had its time, and what had come by then has been read
+	ticket       *desk.Ticket // of the job in hand
+	id           string       // of that job
+	spare        bool         // there was no room for it when it came
+	skip         bool         // until Sync, after an error in the extended protocol
 }
 
 const closing = -1
@@ -50,6 +53,7 @@
 		}
 		if c.busy.Load() && c.ticket != nil {
 			c.ticket.Left()
+			c.intake.unclaim(c.id)
 		}
 		c.sock.Close()
 		c.in.Free()
@@ -92,26 +96,39 @@
 			}
 			return nil
 		}
-	case c.in.Len() > 0:
-		until = time.Now().Add(c.intake.patience)
+	case c.in.Len() > 0 || !c.asked.Load():
+		if c.begun.IsZero() {
+			c.begun = time.Now()
+		}
+		until = c.begun.Add(patience)
+		if c.late {
+			c.refuse(pg.BadProtocol, "the message took too long")
+			return errEnd
+		}
 		if err := c.in.Need(c.need, until); err != nil {
 			c.refuse(pg.NoMemory, "no memory for so long a message")
 			return err
 		}
-	case !c.asked: // its first query may be on the way, and has to be answered
-		until = time.Now().Add(c.intake.patience)
+		if !c.asked.Load() {
+			c.idle(c.came)
+		}
 	default:
-		c.idle()
+		c.idle(c.intake.desk.Now())
 	}
 	c.sock.SetReadDeadline(until)
 	// Whoever wants the connection to end says so first and wakes it then; it may have been woken too early.
-	if c.idleSince.Load() == closing || !busy && c.intake.wantsEnd(c.asked && c.in.Len() == 0) {
+	if c.idleSince.Load() == closing || !busy && c.intake.wantsEnd(c.asked.Load() && c.in.Len() == 0) {
 		return errEnd
 	}
 	if busy && !c.busy.Load() {
 		return nil // the job ended just now: its wake may have come before the deadline was set
 	}
 	n, err := c.in.Fill(c.sock)
+	if errors.Is(err, os.ErrDeadlineExceeded) && ring.Pending(c.sock) { // what has come is looked at, late or not
+		c.sock.SetReadDeadline(time.Time{})
+		n, err = c.in.Fill(c.sock)
+		c.late = !until.IsZero() && time.Now().After(until)
+	}
 	if c.idleSince.Swap(0) == closing {
 		if n == 0 {
 			return errEnd
@@ -121,9 +138,8 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) && (until.IsZero() || time.Now().Before(until)) {
 		return nil // woken, be it for what is over by now
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.in.Len() == 0 {
-		c.asked = true
-		return nil
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.in.Len() > 0 {
+		c.refuse(pg.BadProtocol, "the message took too long")
 	}
 	c.readAt = c.intake.desk.Now()
 	return err
@@ -167,6 +183,9 @@
 		c.need = size
 		return false, nil
 	}
+	if c.asked.Load() {
+		c.begun, c.late = time.Time{}, false
+	}
 	if c.skip && kind != 'S' && kind != 'X' {
 		c.in.Discard(size)
 		return true, nil
@@ -204,7 +223,8 @@
 		c.refuse(pg.BadProtocol, "malformed query")
 		return errEnd
 	}
-	c.asked = true
+	c.asked.Store(true)
+	c.begun, c.late = time.Time{}, false
 	text := body[:len(body)-1]
 	if pg.Empty(text) {
 		return c.say(pg.AppendEmpty(nil))
@@ -235,6 +255,10 @@
 		return errEnd
 	}
 	c.spare = false
+	if !c.intake.claim(s.ID) {
+		return c.wrong(pg.StrangeValue, "a query with this id is open already")
+	}
+	c.id = s.ID
 	// What the query has waited here counts against its client's time.
 	wait := s.Wait*int64(time.Millisecond) - (c.intake.desk.Now() - c.readAt)
 	if c.idleSince.Swap(0) == closing {
@@ -263,7 +287,7 @@
 
 // say writes to the client, which has so long to read it.
 func (c *client) say(parts ...[]byte) error {
-	c.sock.SetWriteDeadline(time.Now().Add(c.intake.patience))
+	c.sock.SetWriteDeadline(time.Now().Add(patience))
 	for _, p := range parts {
 		if c.out.Len()+len(p) > ring.First {
 			if err := c.out.Flush(c.sock); err != nil {
@@ -279,9 +303,9 @@
 	return c.out.Flush(c.sock)
 }
 
-// idle notes that nothing is in hand.
-func (c *client) idle() {
-	c.idleSince.Store(c.intake.desk.Now())
+// idle notes that nothing is in hand since then.
+func (c *client) idle(since int64) {
+	c.idleSince.Store(since)
 	if c.intake.wanting.Load() {
 		c.intake.changed()
 	}
@@ -297,13 +321,14 @@
 	return true
 }
 
-// answered ends the job on this connection: the next query may come.
-func (c *client) answered(err error) {
-	if err != nil {
+// answer ends the job on this connection: the next query may come, and its id may be used anew.
+func (c *client) answer(parts ...[]byte) {
+	c.intake.unclaim(c.id)
+	if err := c.say(parts...); err != nil {
 		c.sock.Close()
 	}
 	if !c.waiting.Load() {
-		c.idle()
+		c.idle(c.intake.desk.Now())
 	}
 	c.busy.Store(false)
 	if c.waiting.Load() || c.intake.isLeaving() {
@@ -316,7 +341,7 @@
 }
 
 // Done implements job.Client.
-func (c *client) Done(value []byte) { c.answered(c.say(value, pg.AppendReady(nil))) }
+func (c *client) Done(value []byte) { c.answer(value, pg.AppendReady(nil)) }
 
 // Bounced implements job.Client.
 func (c *client) Bounced(stayAway int64) {
@@ -324,8 +349,8 @@
 	if ms := (stayAway + int64(time.Millisecond) - 1) / int64(time.Millisecond); ms > 0 {
 		detail = strconv.FormatInt(ms, 10)
 	}
-	c.answered(c.say(pg.AppendReady(pg.AppendBounce(nil, detail))))
+	c.answer(pg.AppendReady(pg.AppendBounce(nil, detail)))
 }
 
 // Terminated implements job.Client.
-func (c *client) Terminated() { c.answered(c.say(pg.AppendReady(pg.AppendTermination(nil)))) }
+func (c *client) Terminated() { c.answer(pg.AppendReady(pg.AppendTermination(nil))) }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -26,7 +26,6 @@
 	log      *zap.Logger
 	listener net.Listener
 	budget   *ring.Budget
-	patience time.Duration // for the rest of a message, and for a client that does not read
 	pause    time.Duration // when descriptors are out
 
 	wanting atomic.Bool // a new connection waits for one to end
@@ -34,12 +33,18 @@
 	mu      sync.Mutex
 	room    *sync.Cond
 	clients map[*client]struct{}
+	ids     map[string]struct{} // of the jobs that are not answered yet
 	most    int
 	spare   int  // beyond that, for clients that can only be told to come again
 	leaving bool // idle connections are closed
 	closed  bool
 }
 
+// As the platform's page on service has it: a connection with no job in hand may be closed after 2 s, and a client that
+// sends what can't be read is owed a word or an end within 3 s of its coming. So long a client may take for its first
+// query, for the rest of a message, and to read what it is sent.
+const patience = 2 * time.Second
+
 // spareShare is the part of the clients' connections that is kept for turning clients away.
 const spareShare = 1.0 / 8
 
@@ -52,7 +57,7 @@
 // New serves what comes to the listener, once Serve is called.
 func New(l net.Listener, c *contract.Contract, d *desk.Desk, n *trip.Nodes, limits Limits, log *zap.Logger) *Intake {
 	t := &Intake{desk: d, nodes: n, contract: c, log: log, listener: l, budget: limits.Budget,
-		clients: map[*client]struct{}{}, patience: time.Duration(c.KeepAlive), pause: time.Duration(c.Tick)}
+		clients: map[*client]struct{}{}, ids: map[string]struct{}{}, pause: time.Duration(c.Tick)}
 	t.spare = max(1, int(spareShare*float64(limits.Connections)))
 	t.most = max(1, limits.Connections-t.spare)
 	t.room = sync.NewCond(&t.mu)
@@ -62,8 +67,8 @@
 // Address is where clients connect.
 func (t *Intake) Address() string { return t.listener.Addr().String() }
 
-// Serve accepts until the listener is closed. Where all connections for clients are in use the one idle longest
-// makes room. Until it has, and if none is idle, a new client is in the spare ones: if there is still no room when its
+// Serve accepts until the listener is closed. Where all connections for clients are in use one that waits for nothing
+// makes room. Until it has, and if there is none, a new client is in the spare ones: if there is still no room when its
 // query has come, that is turned away. Beyond them accepting waits.
 func (t *Intake) Serve() {
 	for {
@@ -107,15 +112,17 @@
 	t.closeOldest()
 }
 
-// closeOldest has the connection end that has been idle longest, and tells whether any is ending.
+// closeOldest has the connection end that came longest ago without asking, else the one idle longest, and tells whether
+// any is ending. Clients ask as they come, so those that don't go first: guards against hundreds that connect and say
+// nothing. It harms a client only if its first query is still under way while all places are taken.
 func (t *Intake) closeOldest() (ending bool) {
 	var oldest *client
 	var since int64
 	for c := range t.clients {
-		switch at := c.idleSince.Load(); {
+		switch at, asked := c.idleSince.Load(), c.asked.Load(); {
 		case at == closing:
 			ending = true
-		case at > 0 && (oldest == nil || at < since):
+		case at > 0 && (oldest == nil || asked == oldest.asked.Load() && at < since || !asked && oldest.asked.Load()):
 			oldest, since = c, at
 		}
 	}
@@ -156,7 +163,9 @@
 	defer t.mu.Unlock()
 	t.leaving = true
 	for c := range t.clients {
-		c.closeIdle(c.idleSince.Load())
+		if c.asked.Load() {
+			c.closeIdle(c.idleSince.Load())
+		}
 	}
 }
 
@@ -203,7 +212,24 @@
 	return len(t.clients)
 }
 
+// claim notes a job's id, unless a job with that id is in hand.
+func (t *Intake) claim(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, taken := t.ids[id]
+	if !taken {
+		t.ids[id] = struct{}{}
+	}
+	return !taken
+}
+
+func (t *Intake) unclaim(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.ids, id)
+}
+
 func newClient(t *Intake, sock net.Conn) *client {
-	return &client{intake: t, sock: sock, free: make(chan struct{}, 1), in: ring.New(ring.First, pg.MostMessage, t.budget),
+	return &client{intake: t, sock: sock, begun: time.Now(), came: t.desk.Now(), free: make(chan struct{}, 1), in: ring.New(ring.First, pg.MostMessage, t.budget),
 		out: ring.New(ring.First, pg.MostMessage, t.budget)}
 }
--- a/internal/pg/statement.go
+++ b/internal/pg/statement.go
@@ -12,6 +12,7 @@
 // Statement is a client's query: what its comment says of the job, and its text, which goes to nodes
 // unchanged but for the time that the client waits.
 type Statement struct {
+	ID      string
 	Tariff  string
 	Session uint64
 	Wait    int64 // milliseconds, from when the client sent it
@@ -90,7 +91,7 @@
 
 // comment reads the names and values between the two places of the text.
 func (s *Statement) comment(from, upTo int) bool {
-	var id, wait, group bool
+	var wait, group bool
 	for at := from; at < upTo; {
 		next := upTo
 		if k := bytes.IndexByte(s.text[at:upTo], ','); k >= 0 {
@@ -103,10 +104,10 @@
 		value = bytes.TrimRight(value, " ")
 		switch string(bytes.TrimSpace(name)) {
 		case "id":
-			if id || len(value) == 0 {
+			if s.ID != "" || len(value) == 0 {
 				return false
 			}
-			id = true
+			s.ID = string(value)
 		case "k":
 			s.Marked = len(value) > 0
 		case "c":
@@ -134,7 +135,7 @@
 		}
 		at = next + 1
 	}
-	return id && s.Tariff != "" && wait && s.Wait > 0 && group
+	return s.ID != "" && s.Tariff != "" && wait && s.Wait > 0 && group
 }
 
 // number is a whole number of at least 0.
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -5,6 +5,8 @@
 	"context"
 	"errors"
 	"io"
+	"net"
+	"syscall"
 	"time"
 
 	"golang.org/x/sync/semaphore"
@@ -16,6 +18,25 @@
 // Past is a deadline that has gone by. Set on a socket, it wakes the task that reads there.
 var Past = time.Unix(1, 0)
 
+// Pending tells whether bytes, or the end, have come to a socket and not been read, be its deadline past or not. A read
+// that a deadline wakes does not look.
+func Pending(sock net.Conn) (some bool) {
+	s, ok := sock.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return true
+	}
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		some = err != syscall.EAGAIN && err != syscall.EINTR
+	})
+	return some || err != nil
+}
+
 // ErrFull tells that more was to be kept than the buffer, or the budget of all buffers, may hold.
 var ErrFull = errors.New("ring: full")
 
