What comes behind a node's answer never answers the next job, and spoilt answers show by their form

A whole answer with more in the buffer kept its connection (carry()). internal/pg/answer.go passed on a RowDescription of which only the count was checked, and a CommandComplete of which nothing was; it took a ParameterStatus that can't be read for a spoilt answer, though the answer is good, and believed the readable part of a torn load report. Notices without end were read until the hard limit.

Changed: the socket is looked at before an order is written; anything unasked ends the connection, and the order goes over another, as nothing of it was written. The forms of columns, tags, states and ReadyForQuery are checked; an answer has a bound of bytes; a report that can't be read whole is not believed, and spoils nothing.

TestMoreThanBelongs, TestStatusNobodyCanRead and nine cases of TestAnswer fail on the program before.

--- a/internal/pg/answer.go
+++ b/internal/pg/answer.go
@@ -19,23 +19,33 @@
 
 	described, row, complete bool
 	state                    string
+	size                     int
 }
 
-// Take takes in a message. One that does not belong here is malformed; what came before it stays in doubt.
+// A RowDescription has this many bytes for a column behind its name.
+const columnSize = 18
+
+// Take takes in a message. One that does not belong here is malformed; what came before it stays in doubt. What says
+// something of the node besides its answer does not spoil that if it can't be read.
 func (a *Answer) Take(kind byte, body []byte) error {
+	// A value, once, and what is said round it: guards against answers that never end.
+	if a.size += headSize + len(body); a.size > 2*MostMessage {
+		return ErrMalformed
+	}
 	switch kind {
 	case 'S':
-		name, rest, ok := bytes.Cut(body, []byte{0})
-		value, _, whole := bytes.Cut(rest, []byte{0})
-		if !ok || !whole {
-			return ErrMalformed
+		name, rest, _ := bytes.Cut(body, []byte{0})
+		if value, whole := ended(rest); whole {
+			a.status(string(name), string(value))
 		}
-		a.status(string(name), string(value))
 	case 'N':
 	case 'T':
 		if a.described || a.state != "" || len(body) < 2 || binary.BigEndian.Uint16(body) != 1 {
 			return ErrMalformed
 		}
+		if k := bytes.IndexByte(body[2:], 0); k < 0 || len(body) != 2+k+1+columnSize {
+			return ErrMalformed
+		}
 		a.described = true
 		a.keep(kind, body)
 	case 'D':
@@ -48,7 +58,7 @@
 		a.row = true
 		a.keep(kind, body)
 	case 'C':
-		if !a.row || a.complete || a.state != "" {
+		if tag, whole := ended(body); !whole || !tagged(tag) || !a.row || a.complete || a.state != "" {
 			return ErrMalformed
 		}
 		a.complete = true
@@ -57,21 +67,35 @@
 		if a.complete || a.state != "" {
 			return ErrMalformed
 		}
-		if a.state = errorField(body, 'C'); a.state == "" {
+		if a.state = errorField(body, 'C'); len(a.state) != stateSize || body[len(body)-1] != 0 {
 			return ErrMalformed
 		}
 	case 'Z':
-		if len(body) != 1 || !a.complete && a.state == "" {
+		if len(body) != 1 || bytes.IndexByte([]byte("ITE"), body[0]) < 0 || !a.complete && a.state == "" {
 			return ErrMalformed
 		}
 		a.Whole = true
-		a.Ending = a.ended()
+		a.Ending = a.outcome()
 	default:
 		return ErrMalformed
 	}
 	return nil
 }
 
+// ended is a text that ends with a zero and holds no other.
+func ended(body []byte) (text []byte, whole bool) {
+	k := bytes.IndexByte(body, 0)
+	return body[:max(k, 0)], k >= 0 && k == len(body)-1
+}
+
+// tagged tells whether a CommandComplete has a command's form: words in capitals and numbers.
+func tagged(tag []byte) bool {
+	return len(tag) > 0 && len(bytes.Trim(tag, "ABCDEFGHIJKLMNOPQRSTUVWXYZ 0123456789")) == 0
+}
+
+// stateSize is the length of an error's state.
+const stateSize = 5
+
 func (a *Answer) keep(kind byte, body []byte) {
 	var at int
 	a.Value, at = begin(a.Value, kind)
@@ -84,12 +108,12 @@
 	if a.Whole || !a.complete && a.state == "" {
 		return a.Whole
 	}
-	a.Ending = a.ended()
+	a.Ending = a.outcome()
 	return true
 }
 
-// ended maps the states of the protocol page's table.
-func (a *Answer) ended() balance.Ending {
+// outcome maps the states of the protocol page's table.
+func (a *Answer) outcome() balance.Ending {
 	switch a.state {
 	case "":
 		return balance.Done
@@ -133,6 +157,9 @@
 	}
 }
 
+// Unreadable is a report of which nothing is believed.
+var Unreadable = balance.Report{Queue: -1, Held: -1}
+
 // Vitals is the report that a probe's row holds.
 func (a *Answer) Vitals() balance.Report {
 	for k := 0; k+5 <= len(a.Value); {
@@ -146,14 +173,14 @@
 }
 
 // readReport reads name=value pairs; positions are Unix seconds here, rounded down to whole microseconds so
-// that no node looks fresher than it is.
+// that no node looks fresher than it is. Of a report that can't be read whole nothing is believed.
 func readReport(text string) balance.Report {
-	r := balance.Report{Queue: -1, Held: -1}
+	r := Unreadable
 	for _, pair := range bytes.Split([]byte(text), []byte(",")) {
 		name, value, _ := bytes.Cut(pair, []byte("="))
 		x, err := strconv.ParseFloat(string(bytes.TrimSpace(value)), 64)
-		if err != nil || math.IsNaN(x) || math.IsInf(x, 0) {
-			continue
+		if err != nil || !(x >= 0 && x < math.MaxInt64) {
+			return Unreadable
 		}
 		r.Given = true
 		switch string(bytes.TrimSpace(name)) {
--- a/internal/pg/pg_test.go
+++ b/internal/pg/pg_test.go
@@ -169,6 +169,15 @@
 		"unknown":           message('W', ""),
 		"no length":         {'T', 0, 0, 0, 1},
 		"endless":           {'T', 0x7f, 0, 0, 1},
+		"endless notices":   bytes.Repeat(message('N', strings.Repeat("n", 1000)), 2*MostMessage/1000),
+		"torn column":       message('T', "\x00\x01body\x00\x00\x00"),
+		"nameless column":   message('T', "\x00\x01"+strings.Repeat("x", 23)),
+		"no tag":            append(row("v")[:len(row("v"))-14], message('C', "\x00")...),
+		"tag with no end":   append(row("v")[:len(row("v"))-14], message('C', "SELECT 1")...),
+		"noise for a tag":   append(row("v")[:len(row("v"))-14], message('C', "\xfe\x07\x00")...),
+		"noise for a state": message('E', "C\x8153300\x00\x00"),
+		"state with no end": message('E', "C53300\x00M"),
+		"strange ready":     append(row("v"), message('Z', "\x00")...),
 	} {
 		if a, err := answer(stream); err == nil {
 			t.Errorf("%s was taken: %+v", name, a)
@@ -176,6 +185,18 @@
 	}
 }
 
+// What can't be read of a node's own state does not spoil its answer, and nothing of it is believed.
+func TestStatusNobodyCanRead(t *testing.T) {
+	for _, body := range []string{"", "vitals", "vitals\x00", "vitals\x00x0=9,x1=1", "vitals\x00x0=9,x1=\xff\x00",
+		"vitals\x00x0=9,x1\x00", "vitals\x00x0=9,load_share=-1\x00", "vitals\x00x0=9,queue=1e300\x00",
+		"vitals\x00x0=9,queue=NaN\x00", "vitals\x00x0=9\x00x1=1\x00"} {
+		a, err := answer(append(append(row("v"), message('S', body)...), AppendReady(nil)...))
+		if err != nil || !a.Whole || a.Ending != balance.Done || a.Report.Given || a.Report.Position != 0 {
+			t.Errorf("%q: %+v, %v", body, a, err)
+		}
+	}
+}
+
 // A position is never rounded up, so that no node looks fresher than it is.
 func TestVitals(t *testing.T) {
 	a, _ := answer(append(row("x0=1767225600.1239999,x1=0,load_share=0.25,queue=3"), AppendReady(nil)...))
--- a/internal/trip/conn.go
+++ b/internal/trip/conn.go
@@ -135,12 +135,14 @@
 func (c *conn) carry(o *order) bool {
 	c.carries = o
 	ending, answer := c.exchange(o)
-	if answer.Whole || ending == balance.Moot { // nothing is on the way over it
+	// Nothing is on the way over it, unless more has come than belongs to the answer: what came behind must never
+	// answer the next job.
+	if (answer.Whole || ending == balance.Moot) && c.in.Len() == 0 {
 		c.finish(o, ending, answer)
 		return true
 	}
 	c.close()
-	if o.isRevoked() && ending > balance.Moot {
+	if o.isRevoked() && ending > balance.Moot && !answer.Whole {
 		ending = balance.Revoked
 	}
 	c.finish(o, ending, answer)
@@ -229,13 +231,13 @@
 			err = c.idleMessages()
 		}
 	}
+	// An order wakes the read before that has looked at what the node may have sent unasked.
+	unclean := !errors.Is(err, os.ErrDeadlineExceeded) || c.in.Len() > 0 || ring.Pending(c.sock)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o := c.order
 	if c.order = nil; o != nil {
-		if !errors.Is(err, os.ErrDeadlineExceeded) || c.in.Len() > 0 {
-			c.retired = true // it ended just as it got the order
-		}
+		c.retired = c.retired || unclean // it ended just as it got the order
 		return o
 	}
 	for i, k := range c.node.idle {
--- a/internal/trip/nodes_test.go
+++ b/internal/trip/nodes_test.go
@@ -1,12 +1,16 @@
 package trip
 
 import (
+	"net"
+	"os"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 
 	"sedgestream/balance"
 	"sedgestream/internal/job"
+	"sedgestream/internal/ring"
 )
 
 // A node that leaves the list without an address keeps the one it had: what is out there may still need it, and
@@ -31,3 +35,50 @@
 		t.Errorf("%+v", ends)
 	}
 }
+
+// deaf is a socket whose reads are always woken before they look.
+type deaf struct{ *net.TCPConn }
+
+func (deaf) Read([]byte) (int, error) { return 0, os.ErrDeadlineExceeded }
+
+// What a node sends behind a whole answer never answers the next job: an order that finds more on its connection goes
+// over another one.
+func TestMoreThanBelongs(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	near, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer near.Close()
+	far, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer far.Close()
+	s := New(&balance.Contract{}, Limits{Connections: 1}, zap.NewNop())
+	s.Reach(0, "a", l.Addr().String())
+	c := &conn{nodes: s, node: s.nodes[0], address: l.Addr().String(), sock: deaf{near.(*net.TCPConn)},
+		in: ring.New(ring.First, ring.First, nil)}
+	for _, more := range []bool{false, true} {
+		if more {
+			far.Write([]byte("a second copy"))
+			for !ring.Pending(near) {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		o := &order{}
+		c.order = o
+		if got := c.wait(); got != o || c.retired != more {
+			t.Errorf("more than belongs: %v, order kept: %v, connection retired: %v", more, got == o, c.retired)
+		}
+	}
+	l.Close()
+	c.in.Write([]byte("noise"))
+	if c.carry(&order{until: time.Now(), back: func(job.End) {}}) {
+		t.Error("a connection with noise in its buffer was kept")
+	}
+}
