Nodes that have left are let go of, so that memory and the work for each list stand still

Cause, by reading: names and numbers of nodes (internal/desk), their addresses (internal/trip), and nodes, marks and groups' members (balance/state.go) only grew; every word of the list, every alarm and every choice walked them all.

Changed: after each word of the list the desk asks the module which nodes are done with: gone for longer than the grace, nothing of them out, no job in hand that has been to them; where nodes called gone may serve, silent as long as idle connections are kept. Their numbers then name others, and connections to them end. A node first heard of as removed gets no number.

TestNodesComeAndGo fails on the program before (1,001 names) and passes now.

--- a/balance/state.go
+++ b/balance/state.go
@@ -175,6 +175,29 @@
 	m.standing, m.zone, m.weight, m.listed, m.word = s, int32(zone), max(weight, 1e-6), primary, r.word
 }
 
+// Forget lets go of a node that has left, and tells whether it did: its number may then name another. Nothing of it is
+// out by then and no job in hand has been to it, and the grace of its leaving is past; where nodes called gone may
+// serve, it has been silent for as long as idle connections are kept.
+func (r *Router) Forget(now int64, n int) bool {
+	m := &r.nodes[n]
+	if m.standing != Gone || m.group < 0 || m.probing || now <= m.told+2*r.grace || r.open(m) && now < m.heard+r.keep {
+		return false
+	}
+	for i := range r.jobs {
+		if j := &r.jobs[i]; j.live && j.tried(m.self) {
+			return false
+		}
+	}
+	is := func(k int32) bool { return k == m.self }
+	g := r.group(int(m.group))
+	g.members = slices.DeleteFunc(g.members, is)
+	if r.marks[m.mark] = slices.DeleteFunc(r.marks[m.mark], is); len(r.marks[m.mark]) == 0 {
+		delete(r.marks, m.mark)
+	}
+	*m = node{self: m.self, group: -1, room: opened, queue: -1, standing: Gone, drained: true}
+	return true
+}
+
 // Listed ends a word from the list. A node absent from a whole list has left.
 func (r *Router) Listed(now int64) {
 	for i := range r.nodes {
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -22,9 +22,10 @@
 	Terminate func()
 }
 
-// Nodes is where trips learn how to reach a node.
+// Nodes is where trips learn how to reach a node, and that a number names none any more.
 type Nodes interface {
 	Reach(node int, name, address string)
+	Drop(node int)
 }
 
 // Row is one node as the list has it.
@@ -62,6 +63,7 @@
 	boxes   sync.Pool // mailboxes out of use
 	ids     map[string]int
 	names   []string
+	unused  []int // numbers of nodes that have left, for others
 	groups  map[int64]int
 	zones   map[string]int
 
@@ -204,15 +206,38 @@
 	now := d.Now()
 	d.router.Listing(whole)
 	for _, w := range rows {
-		n := contract.Index(d.ids, w.ID)
-		if n == len(d.names) {
-			d.names = append(d.names, w.ID)
+		n, known := d.ids[w.ID]
+		if !known && w.Standing == balance.Gone {
+			continue
+		} else if !known {
+			n = d.number(w.ID)
 		}
 		d.nodes.Reach(n, w.ID, w.Address)
 		d.router.Member(now, n, contract.Index(d.groups, w.Group), contract.Index(d.zones, w.Zone), crc32.ChecksumIEEE([]byte(w.ID)),
 			w.Standing, w.Weight, w.Started, w.Primary)
 	}
 	d.router.Listed(now)
+	// Nodes come and go all day under new names; what is kept of them must not grow with that.
+	for n, name := range d.names {
+		if name != "" && d.router.Forget(now, n) {
+			delete(d.ids, name)
+			d.names[n] = ""
+			d.unused = append(d.unused, n)
+			d.nodes.Drop(n)
+		}
+	}
+}
+
+// number is the lowest number that has not named a node yet, or one that names none any more.
+func (d *Desk) number(id string) (n int) {
+	if k := len(d.unused); k > 0 {
+		n, d.unused = d.unused[k-1], d.unused[:k-1]
+		d.names[n] = id
+	} else {
+		n, d.names = len(d.names), append(d.names, id)
+	}
+	d.ids[id] = n
+	return n
 }
 
 // ListFailed tells that asking for the list failed, or that the watch ended.
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -1,7 +1,9 @@
 package desk
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -11,6 +13,7 @@
 type nowhere struct{}
 
 func (nowhere) Reach(int, string, string) {}
+func (nowhere) Drop(int)                  {}
 
 // What comes late from a job that is over never reaches the next job at its place, and each job gets its orders
 // only.
@@ -63,3 +66,36 @@
 	d.mu.Unlock()
 	d.wake()
 }
+
+// Nodes that come and go under ever new names leave nothing behind, and one that a job has been to keeps its number
+// until the job is over.
+func TestNodesComeAndGo(t *testing.T) {
+	c := &balance.Contract{Tick: 1e6, MaxTrips: 2, ConnectTimeout: 1e9, KeepAlive: 1e9, Tariffs: []balance.Tariff{
+		{Need: balance.Write, Repeat: balance.AtMostOnce, ContractTime: 1e9, Earnings: 1}}}
+	d := Open(c, 1, nowhere{}, zap.NewNop())
+	row := func(i int, s balance.Standing) Row {
+		return Row{ID: fmt.Sprint("n", i), Weight: 1, Group: 7, Primary: true, Standing: s}
+	}
+	d.List(true, []Row{row(0, balance.In)})
+	g, _ := d.Group(7)
+	sent := -1
+	job := d.Take(Task{Send: func(leg, node int, until int64) { sent = node }, Terminate: func() {}}, 0, g, 0, 1e9, 0)
+	(<-job.box)()
+	for i := range 1000 {
+		d.List(i%2 == 0, []Row{row(i+1, balance.In), row(i, balance.Gone)})
+		time.Sleep(time.Microsecond) // no grace is left to any by the next word
+		if d.names[sent] != "n0" {
+			t.Fatal("the number of a node with a trip out names another")
+		}
+	}
+	job.Ended(0, balance.Broken, 1, balance.Note{}, balance.Report{})
+	d.List(false, nil)
+	if len(d.ids) > 2 || len(d.names) > 4 {
+		t.Errorf("%d names, %d numbers", len(d.ids), len(d.names))
+	}
+	var said string
+	(<-d.Take(Task{Send: func(leg, node int, until int64) { said = d.names[node] }}, 0, g, 0, 1e9, 0).box)()
+	if said != "n1000" {
+		t.Errorf("a job went to %q", said)
+	}
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -40,10 +40,13 @@
 	closed  bool
 }
 
-// As the platform's page on service has it: a connection with no job in hand may be closed after 2 s, and a client that
-// sends what can't be read is owed a word or an end within 3 s of its coming. So long a client may take for its first
-// query, for the rest of a message, and to read what it is sent.
-const patience = 2 * time.Second
+// As the platform's page on service has it, a client that sends what can't be read is owed a word or an end within 3 s
+// of its coming. Most of that a client may take for its first query, for the rest of a message, and to read what it is
+// sent.
+const (
+	owed     = 3 * time.Second
+	patience = owed * 9 / 10
+)
 
 // spareShare is the part of the clients' connections that is kept for turning clients away.
 const spareShare = 1.0 / 8
--- a/internal/trip/nodes.go
+++ b/internal/trip/nodes.go
@@ -67,6 +67,15 @@
 	m.name, m.address = name, address
 }
 
+// Drop implements desk.Nodes. A connection that is still busy ends once it is not.
+func (s *Nodes) Drop(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nodes[n].closeIdle()
+	s.nodes[n].address = ""
+	s.nodes[n] = &node{}
+}
+
 // Release closes the idle connections to a node.
 func (s *Nodes) Release(n int) {
 	s.mu.Lock()
