Broken links set a node aside only if it answers nothing meanwhile

Probed: both routers printed, five times a second, what the module believes of each node beside the trips that are really written and unanswered on its connections. Trips in flight agreed (13.4 held, 13.4 on the wire). What did not agree was who is set aside: 4 to 5 of 9 nodes at each router at the end, both primaries among them, and nodes that had never restarted counted as cold (warmth 0.2 to 0.6), while all of them answered. A trace of each broken trip: about one trip in ten was reset at once, on new and on used connections alike, so three in a row came every few seconds at each node. Ruled out: memory, CPU (a tenth of a core), descriptors (100 of 384), idle connections (see below). Lines at fault: balance.go, Ended(), `case Unreachable, Broken, Failed`: any three such endings in a row were an outage, however many answers came over other connections around them; the same set `unreached`, which makes a node cold at its next answer.

Changed: a third broken link counts only where the node has answered no trip for a connect timeout. Errors that a node answers with count as before, and so does silence.

TestBrokenLinkIsNoOutage, extended, fails on the module before and passes now.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -51,11 +51,10 @@
 		keep: c.KeepAlive, marks: map[uint32][]int32{}, young: map[uint64]int64{}, old: map[uint64]int64{}}
 	shortest, best, bound := int64(math.MaxInt64), 0.0, int64(math.MaxInt64)
 	for _, t := range c.Tariffs {
-		shortest = min(shortest, t.ContractTime)
-		if t.Need >= Fresh {
+		switch shortest = min(shortest, t.ContractTime); {
+		case t.Need >= Fresh:
 			best = max(best, t.Earnings)
-		}
-		if t.Need == Bounded {
+		case t.Need == Bounded:
 			bound = min(bound, t.Bound)
 		}
 	}
@@ -385,8 +384,7 @@
 
 func (r *Router) decay(m *node, now int64) {
 	if now > m.workAt {
-		m.work *= math.Exp(-float64(now-m.workAt) / float64(r.span))
-		m.workAt = now
+		m.work, m.workAt = m.work*math.Exp(-float64(now-m.workAt)/float64(r.span)), now
 	}
 }
 
@@ -454,7 +452,7 @@
 	}
 	switch e {
 	case Done:
-		m.failures, m.aside = 0, 0
+		m.failures, m.aside, m.served = 0, 0, now
 		m.ghosts -= m.ghosts / (1 + m.held)
 		m.answers++
 		t.usual += slow * (float64(took) - t.usual)
@@ -472,8 +470,11 @@
 			m.room.size = max(1, m.room.size+quick*(k.crowd-m.room.size))
 		}
 	case Unreachable, Broken, Failed:
-		// One of these is no outage: guards against links that break now and then. Several in a row are.
-		r.failed(m, now, 1)
+		// One of these is no outage: guards against links that break now and then. Several in a row are, but for
+		// broken links while answers come over others: else many links that break set aside a node that serves.
+		if e == Failed || m.failures < distrust-1 || now-m.served >= r.asideFor/4 {
+			r.failed(m, now, 1)
+		}
 		m.unreached = m.unreached || e != Failed && m.failures >= distrust
 	case TimedOut, Revoked:
 		if !k.lost {
@@ -564,8 +565,7 @@
 func (r *Router) failed(m *node, now int64, sparsely int) {
 	span := r.asideFor
 	if r.sparse() && m.role != Primary {
-		m.failures += sparsely - 1
-		span = max(span, r.coldFor/2)
+		m.failures, span = m.failures+sparsely-1, max(span, r.coldFor/2)
 	}
 	if m.failures++; m.failures >= distrust {
 		r.out.Log(int(m.self), "set aside")
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -214,9 +214,23 @@
 		l.r.Probed(l.now, 0, false, Report{})
 		l.r.Probed(l.now, 0, false, Report{})
 	}
-	if m := &l.r.nodes[0]; m.aside > l.now || m.started > 0 {
+	m := &l.r.nodes[0]
+	if m.aside > l.now || m.started > 0 {
 		t.Fatalf("%+v", *m)
 	}
+	breaks := func() {
+		for range 2 * distrust {
+			l.take(int(Write), 0, 1, 1000*ms, 0)
+			finish(l, len(l.trips)-1, Broken)
+		}
+	}
+	if breaks(); m.aside > l.now || m.unreached { // many links, of a node that has just answered
+		t.Fatalf("%+v", *m)
+	}
+	l.now += l.c.ConnectTimeout
+	if breaks(); m.aside <= l.now || !m.unreached {
+		t.Fatalf("it answers nothing any more: %+v", *m)
+	}
 }
 
 // Guards against a round of misses: the write is held while members are probed, and goes to the new primary; a report
--- a/balance/state.go
+++ b/balance/state.go
@@ -70,7 +70,7 @@
 	position, heardOf, lag      int64 // a lower bound, when it was last told, and how far behind then
 	roleAt, missed              int64 // when its role was true, and when it last turned a read away
 	heard                       int64 // when it last answered, or the oldest of its trips left
-	aside, probed               int64 // until when, and when last
+	aside, probed, served       int64 // until when, and when last; when it last answered a trip
 	unreached, probing, drained bool
 	failures                    int     // in a row
 	held, ghosts                float64 // trips, and work that may go on though its trip has ended here
