Clients that ask once and stay make room before they hold all that clients may hold

Ruled out: overload, the restart, malformed input, the 53300 of connections too many (none). Lines at fault: internal/intake/intake.go, Serve(): the connection idle longest ends only when all places are taken (161), and those that have not asked go first, so the clients' own lower limit was never seen.

Changed: once clients that have asked hold all but an eighth of that third, the one idle longest ends (settle()).

TestClientsThatStay fails on the program before and passes now.

--- a/cmd/sedgestream/main_test.go
+++ b/cmd/sedgestream/main_test.go
@@ -730,6 +730,26 @@
 	}
 }
 
+// Clients that ask once and never let go make room, the one idle longest first, before they hold the third of the
+// descriptors that clients may hold.
+func TestClientsThatStay(t *testing.T) {
+	primary, replica := pair(t)
+	f := newFleet(t, primary, replica)
+	f.limits = `{"cores":1,"memory_mb":64,"sockets":100}` // 37 for clients, a third is 33
+	f.start()
+	var stay []*client
+	for range 33 {
+		c := f.open("")
+		c.expect("empty")
+		stay = append(stay, c)
+	}
+	if m, err := stay[0].Receive(); !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, io.EOF) {
+		t.Errorf("the first to come holds its place: %v, %v", m, err)
+	}
+	stay[32].ask(view(20000))
+	stay[32].expect("from copy")
+}
+
 // Long values on many connections at once wait for each other's memory, and all get their answers.
 func TestLongValues(t *testing.T) {
 	n := newNode(t, "source")
--- a/internal/intake/client.go
+++ b/internal/intake/client.go
@@ -223,7 +223,9 @@
 		c.refuse(pg.BadProtocol, "malformed query")
 		return errEnd
 	}
-	c.asked.Store(true)
+	if !c.asked.Swap(true) {
+		c.intake.settle()
+	}
 	c.begun, c.late = time.Time{}, false
 	text := body[:len(body)-1]
 	if pg.Empty(text) {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -36,6 +36,8 @@
 	ids     map[string]struct{} // of the jobs that are not answered yet
 	most    int
 	spare   int  // beyond that, for clients that can only be told to come again
+	askers  int  // of the connections, those that have asked
+	held    int  // how many of these may be open before the one idle longest ends
 	leaving bool // idle connections are closed
 	closed  bool
 }
@@ -54,6 +56,7 @@
 // Limits are what the clients' side may use.
 type Limits struct {
 	Connections int
+	Askers      int // that clients may hold at most, by their own rules
 	Budget      *ring.Budget
 }
 
@@ -63,6 +66,7 @@
 		clients: map[*client]struct{}{}, ids: map[string]struct{}{}, pause: time.Duration(c.Tick)}
 	t.spare = max(1, int(spareShare*float64(limits.Connections)))
 	t.most = max(1, limits.Connections-t.spare)
+	t.held = max(1, int((1-spareShare)*float64(limits.Askers)))
 	t.room = sync.NewCond(&t.mu)
 	return t
 }
@@ -90,11 +94,11 @@
 		c := newClient(t, sock)
 		t.mu.Lock()
 		if c.spare = len(t.clients) >= t.most; c.spare {
-			t.closeOldest()
+			t.closeOldest(false)
 		}
 		for len(t.clients) >= t.most+t.spare && !t.closed {
 			t.wanting.Store(true)
-			t.closeOldest()
+			t.closeOldest(false)
 			t.room.Wait()
 		}
 		t.wanting.Store(false)
@@ -112,20 +116,32 @@
 func (t *Intake) makeRoom() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.closeOldest()
+	t.closeOldest(false)
 }
 
-// closeOldest has the connection end that came longest ago without asking, else the one idle longest, and tells whether
-// any is ending. Clients ask as they come, so those that don't go first: guards against hundreds that connect and say
-// nothing. It harms a client only if its first query is still under way while all places are taken.
-func (t *Intake) closeOldest() (ending bool) {
+// settle takes in that one more client has asked. Clients may hold only so many connections for their jobs, and some
+// ask once and never let go: guards against all of these being idle while nobody who has a job can connect any more.
+// It harms a client that keeps more connections than it uses by a connection set up anew.
+func (t *Intake) settle() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.askers++; t.askers > t.held {
+		t.closeOldest(true)
+	}
+}
+
+// closeOldest has the connection end that came longest ago without asking, else the one idle longest, or that at once
+// among those that have asked, and tells whether any is ending. Clients ask as they come, so those that don't go first:
+// guards against hundreds that connect and say nothing. It harms a client only if its first query is still under way
+// while all places are taken.
+func (t *Intake) closeOldest(asking bool) (ending bool) {
 	var oldest *client
 	var since int64
 	for c := range t.clients {
 		switch at, asked := c.idleSince.Load(), c.asked.Load(); {
 		case at == closing:
 			ending = true
-		case at > 0 && (oldest == nil || asked == oldest.asked.Load() && at < since || !asked && oldest.asked.Load()):
+		case at > 0 && (asked || !asking) && (oldest == nil || asked == oldest.asked.Load() && at < since || !asked && oldest.asked.Load()):
 			oldest, since = c, at
 		}
 	}
@@ -144,7 +160,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for len(t.clients) > t.most {
-		if !t.closeOldest() {
+		if !t.closeOldest(false) {
 			return false
 		}
 		t.room.Wait()
@@ -156,6 +172,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.clients, c)
+	if c.asked.Load() {
+		t.askers--
+	}
 	t.room.Broadcast()
 }
 
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -42,10 +42,12 @@
 )
 
 // Of the descriptors, some are for the listener, discovery, datagrams and the runtime; clients and nodes
-// share the rest. Of the memory, a part is the runtime's to stay under, and a part of that for large values.
+// share the rest. For their jobs clients hold at most a third of all, as the platform's page on service has it. Of the
+// memory, a part is the runtime's to stay under, and a part of that for large values.
 const (
 	ownDescriptors = 16
 	clientsShare   = 0.5
+	askersShare    = 1.0 / 3
 	heapShare      = 0.8
 	valuesShare    = 0.3
 )
@@ -150,7 +152,8 @@
 	if err != nil {
 		return err
 	}
-	s.intake = intake.New(listener, c, s.desk, s.nodes, intake.Limits{Connections: clients, Budget: ring.NewBudget(values)}, s.log)
+	s.intake = intake.New(listener, c, s.desk, s.nodes, intake.Limits{Connections: clients,
+		Askers: int(askersShare * float64(p.Descriptors)), Budget: ring.NewBudget(values)}, s.log)
 	s.task(s.carryOut)
 	s.task(s.intake.Serve)
 	return nil
