Queries written one behind the other become jobs at once and are answered in order

Cause: internal/intake/client.go took one query of a connection at a time; those behind it stood in the buffer, where neither the module nor any limit of theirs saw them, and the time they had waited was counted from the last bytes read.

Changed: each query becomes a job as it comes, up to eight of a client; each has a turn, and the job that is next writes all answers that are ready. A long query still goes alone, so that its buffer counts while its job lasts; a long answer that waits for its turn takes from the clients' budget, and where that is spent its job is terminated. What ends a connection comes after the answers owed on it. Time waited is counted from the bytes that came first.

--- a/cmd/sedgestream/main_test.go
+++ b/cmd/sedgestream/main_test.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -424,6 +425,37 @@
 	until(t, "probes", func() (some bool) { replica.count(func() { some = replica.probes > 0 }); return })
 }
 
+// Queries written one behind the other do not wait for each other at nodes; their answers keep the order, errors
+// included, and what ends the connection comes last.
+func TestBehindOthers(t *testing.T) {
+	primary, replica := pair(t)
+	let := make(chan struct{})
+	primary.job = func(b *pgproto3.Backend, c net.Conn, _ string) { <-let; primary.row(b, "from source") }
+	long := strings.Repeat("v", 20000)
+	replica.job = func(b *pgproto3.Backend, c net.Conn, _ string) { replica.row(b, long) }
+	f := newFleet(t, primary, replica).start()
+	c := f.open("")
+	c.expect("empty")
+	for _, q := range []string{change("once", 20000), view(20000), "nonsense", view(20000)} {
+		c.Send(&pgproto3.Query{String: q})
+	}
+	c.ask("")
+	until(t, "the reads at the replica", func() bool { return len(replica.got()) == 2 })
+	for range 30 { // more than are taken at a time
+		c.ask(view(20000))
+	}
+	c.sock.Write([]byte{'Q', 0x7f, 0xff, 0xff, 0xff})
+	close(let)
+	for _, a := range append([]string{"from source", long, "42601", long, "empty"}, slices.Repeat([]string{long}, 30)...) {
+		if got := c.answer(); got != a && !(a == long && got == "53300") { // a node holds only so many
+			t.Fatalf("answered %.80q, want %.80q", got, a)
+		}
+	}
+	if a := c.answer(); !strings.HasPrefix(a, "08P01") {
+		t.Errorf("the end was %q", a)
+	}
+}
+
 // A client library that others wrote finds nothing strange.
 func TestStockClient(t *testing.T) {
 	primary, replica := pair(t)
--- a/internal/intake/client.go
+++ b/internal/intake/client.go
@@ -4,7 +4,9 @@
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,43 +20,59 @@
 	"sedgestream/internal/trip"
 )
 
-// client is a connection from a client. Its goroutine reads all the time, so that a client that goes is
-// noticed; while a job is in hand, that job's task writes. Further queries wait in the buffer.
+// client is a connection from a client. Its goroutine reads all the time, so that a client that goes is noticed. Queries
+// written one behind the other become jobs as they come, so that none waits for the one before to be answered; the
+// answers go out in the order of the queries, by the task of whichever job is next.
 type client struct {
 	intake  *Intake
 	sock    net.Conn
 	in, out *ring.Ring
 	need    int // bytes that the message at the front takes, as far as known
-	held    int // bytes of the job's query, kept so that they count as long as it does
+	held    int // bytes of a long query, kept so that they count as long as its job does
 
-	busy      atomic.Bool   // a job of it is not answered yet
+	mu    sync.Mutex
+	turns []*turn // whose answers are not out yet
+	left  bool    // nobody reads answers any more
+
+	hands     atomic.Int32  // how many turns there are
 	waiting   atomic.Bool   // more has come meanwhile
-	free      chan struct{} // told when it is answered while more waits
+	free      chan struct{} // told when one is answered while more waits
 	idleSince atomic.Int64  // 0 while anything is in hand or half read, closing once it is to end
 	asked     atomic.Bool   // it has sent a query; until then it is idle from its coming
 
-	came, readAt int64        // when the connection came, and its last bytes
-	begun        time.Time    // when the message at the front began; the first query begins as the connection comes
-	late         bool         // that message has had its time, and what had come by then has been read
-	ticket       *desk.Ticket // of the job in hand
-	id           string       // of that job
-	spare        bool         // there was no room for it when it came
-	skip         bool         // until Sync, after an error in the extended protocol
+	came, readAt int64     // when the connection came, and the bytes that are looked at next
+	begun        time.Time // when the message at the front began; the first query begins as the connection comes
+	late         bool      // that message has had its time, and what had come by then has been read
+	alone        bool      // a long query is in hand, or waits for those before it: nothing goes beside it
+	spare        bool      // there was no room for it when it came
+	skip         bool      // until Sync, after an error in the extended protocol
+}
+
+// turn is a place in the order of a client's answers; that of a job is who the job came from.
+type turn struct {
+	client *client
+	id     string
+	ticket *desk.Ticket // of its job, if any
+	parts  [][]byte     // the answer, once there is one
+	kept   int          // bytes of it that count while it waits for those before it
 }
 
+// mostTurns is how many queries of one client may be in hand; more wait in its buffer, and then outside.
+const mostTurns = 8
+
 const closing = -1
 
-var errEnd = errors.New("intake: connection ends")
+var (
+	errEnd  = errors.New("intake: connection ends")
+	errLast = errors.New("intake: connection ends once all is answered")
+)
 
 func (c *client) live() {
 	defer func() {
 		if p := recover(); p != nil {
 			c.intake.log.Error("a connection's task failed", zap.Any("panic", p), zap.Stack("stack"))
 		}
-		if c.busy.Load() && c.ticket != nil {
-			c.ticket.Left()
-			c.intake.unclaim(c.id)
-		}
+		c.leave()
 		c.sock.Close()
 		c.in.Free()
 		c.intake.gone(c)
@@ -62,19 +80,47 @@
 	started := false
 	for {
 		var err error
-		for more := true; more && err == nil && !c.busy.Load(); {
-			c.in.Discard(c.held)
-			if c.held = 0; started {
+		for more := true; more && err == nil && !c.full(); {
+			if c.hands.Load() == 0 {
+				c.in.Discard(c.held)
+				c.held, c.alone = 0, false
+			}
+			if started {
 				more, err = c.message()
 			} else {
 				started, more, err = c.startup()
 			}
 		}
+		if err == nil {
+			err = c.read()
+		}
+		if err == errLast {
+			for c.waiting.Store(true); c.hands.Load() > 0; {
+				<-c.free
+			}
+		}
 		if err != nil {
 			return
 		}
-		if err := c.read(); err != nil {
-			return
+	}
+}
+
+// full tells whether what comes next has to wait for an answer.
+func (c *client) full() bool {
+	n := c.hands.Load()
+	return n >= mostTurns || c.alone && n > 0
+}
+
+// leave gives up the turns that are left: the client has gone, and nothing more is owed.
+func (c *client) leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.left = true
+	for _, t := range c.turns {
+		c.intake.budget.Give(t.kept)
+		if t.parts == nil && t.ticket != nil {
+			t.ticket.Left()
+			c.intake.unclaim(t.id)
 		}
 	}
 }
@@ -83,7 +129,8 @@
 // messages may be silent as long as it likes.
 func (c *client) read() error {
 	var until time.Time
-	busy := c.busy.Load()
+	hands, stalled := c.hands.Load(), c.full()
+	busy := hands > 0
 	if !busy && c.held > 0 {
 		return nil // the job ended just now, and what it held goes back first
 	}
@@ -91,7 +138,7 @@
 	switch {
 	case busy:
 		if c.in.Room() == 0 { // the next queries wait outside
-			if c.waiting.Store(true); c.busy.Load() {
+			if c.waiting.Store(true); c.hands.Load() == hands {
 				<-c.free
 			}
 			return nil
@@ -102,15 +149,15 @@
 		}
 		until = c.begun.Add(patience)
 		if c.late {
-			c.refuse(pg.BadProtocol, "the message took too long")
-			return errEnd
+			return c.refuse(pg.BadProtocol, "the message took too long")
 		}
 		if err := c.in.Need(c.need, until); err != nil {
-			c.refuse(pg.NoMemory, "no memory for so long a message")
-			return err
+			return c.refuse(pg.NoMemory, "no memory for so long a message")
 		}
 		if !c.asked.Load() {
 			c.idle(c.came)
+		} else if at := c.idleSince.Load(); at > 0 { // of the answer before
+			c.idleSince.CompareAndSwap(at, 0)
 		}
 	default:
 		c.idle(c.intake.desk.Now())
@@ -120,8 +167,8 @@
 	if c.idleSince.Load() == closing || !busy && c.intake.wantsEnd(c.asked.Load() && c.in.Len() == 0) {
 		return errEnd
 	}
-	if busy && !c.busy.Load() {
-		return nil // the job ended just now: its wake may have come before the deadline was set
+	if c.hands.Load() != hands {
+		return nil // a job ended just now: its wake may have come before the deadline was set
 	}
 	n, err := c.in.Fill(c.sock)
 	if errors.Is(err, os.ErrDeadlineExceeded) && ring.Pending(c.sock) { // what has come is looked at, late or not
@@ -139,9 +186,11 @@
 		return nil // woken, be it for what is over by now
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.in.Len() > 0 {
-		c.refuse(pg.BadProtocol, "the message took too long")
+		return c.refuse(pg.BadProtocol, "the message took too long")
+	}
+	if !stalled { // what stands before these bytes came earlier
+		c.readAt = c.intake.desk.Now()
 	}
-	c.readAt = c.intake.desk.Now()
 	return err
 }
 
@@ -149,8 +198,7 @@
 func (c *client) startup() (started, more bool, err error) {
 	what, size, err := pg.Startup(c.in)
 	if err != nil {
-		c.refuse(pg.BadProtocol, "malformed startup packet")
-		return false, false, err
+		return false, false, c.refuse(pg.BadProtocol, "malformed startup packet")
 	}
 	if what == pg.Incomplete {
 		c.need = size
@@ -159,25 +207,28 @@
 	c.in.Discard(size)
 	switch what {
 	case pg.Version3:
-		return true, true, c.say(pg.AppendWelcome(nil))
+		return true, true, c.reply(pg.AppendWelcome(nil))
 	case pg.Version3Later:
-		return true, true, c.say(pg.AppendNegotiate(nil), pg.AppendWelcome(nil))
+		return true, true, c.reply(pg.AppendNegotiate(nil), pg.AppendWelcome(nil))
 	case pg.Encryption:
-		return false, true, c.say([]byte{'N'})
+		return false, true, c.reply([]byte{'N'})
 	case pg.Strange:
-		c.refuse(pg.BadProtocol, "only version 3 of the protocol is spoken here")
+		return false, false, c.refuse(pg.BadProtocol, "only version 3 of the protocol is spoken here")
 	}
 	return false, false, errEnd
 }
 
-func (c *client) refuse(state, words string) { c.say(pg.AppendError(nil, "FATAL", state, words, "")) }
+// refuse is the last answer on a connection.
+func (c *client) refuse(state, words string) error {
+	c.reply(pg.AppendError(nil, "FATAL", state, words, ""))
+	return errLast
+}
 
 // message takes in the next message, if it is whole.
 func (c *client) message() (more bool, err error) {
 	kind, body, size, err := pg.Message(c.in)
 	if err != nil {
-		c.refuse(pg.BadProtocol, "malformed message")
-		return false, err
+		return false, c.refuse(pg.BadProtocol, "malformed message")
 	}
 	if kind == 0 {
 		c.need = size
@@ -192,7 +243,11 @@
 	}
 	switch kind {
 	case 'Q':
-		if err = c.query(body); c.busy.Load() {
+		long := size > ring.First
+		if c.alone = long; long && c.hands.Load() > 0 {
+			return false, nil // those before it are answered first
+		}
+		if err = c.query(body); long && c.hands.Load() > 0 {
 			c.held = size
 			return false, err
 		}
@@ -200,18 +255,17 @@
 		return false, errEnd
 	case 'S':
 		c.skip = false
-		err = c.say(pg.AppendReady(nil))
+		err = c.reply(pg.AppendReady(nil))
 	case 'P', 'B', 'D', 'E', 'C', 'F':
 		c.skip = kind != 'F'
 		words := pg.AppendError(nil, "ERROR", pg.NotHere, "only simple queries are served here", "")
 		if kind == 'F' {
 			words = pg.AppendReady(words)
 		}
-		err = c.say(words)
+		err = c.reply(words)
 	case 'H', 'd', 'c', 'f':
 	default:
-		c.refuse(pg.BadProtocol, "unknown message")
-		return false, errEnd
+		return false, c.refuse(pg.BadProtocol, "unknown message")
 	}
 	c.in.Discard(size)
 	return true, err
@@ -220,8 +274,7 @@
 // query makes a job of a query, or answers it at once.
 func (c *client) query(body []byte) error {
 	if len(body) == 0 || body[len(body)-1] != 0 {
-		c.refuse(pg.BadProtocol, "malformed query")
-		return errEnd
+		return c.refuse(pg.BadProtocol, "malformed query")
 	}
 	if !c.asked.Swap(true) {
 		c.intake.settle()
@@ -229,10 +282,10 @@
 	c.begun, c.late = time.Time{}, false
 	text := body[:len(body)-1]
 	if pg.Empty(text) {
-		return c.say(pg.AppendEmpty(nil))
+		return c.reply(pg.AppendEmpty(nil))
 	}
 	if tag := pg.Harmless(text); tag != "" {
-		return c.say(pg.AppendSet(nil, tag))
+		return c.reply(pg.AppendSet(nil, tag))
 	}
 	s, err := pg.ReadStatement(text)
 	if err != nil {
@@ -253,26 +306,35 @@
 		return c.wrong(pg.StrangeValue, "this class wants the other kind of statement")
 	}
 	if c.spare && !c.intake.hasRoom() {
-		c.say(pg.AppendCrowded(nil))
-		return errEnd
+		c.reply(pg.AppendCrowded(nil))
+		return errLast
 	}
 	c.spare = false
 	if !c.intake.claim(s.ID) {
 		return c.wrong(pg.StrangeValue, "a query with this id is open already")
 	}
-	c.id = s.ID
 	// What the query has waited here counts against its client's time.
 	wait := s.Wait*int64(time.Millisecond) - (c.intake.desk.Now() - c.readAt)
-	if c.idleSince.Swap(0) == closing {
+	turn := &turn{client: c, id: s.ID}
+	if c.take(turn) {
 		c.intake.changed()
 	}
-	c.busy.Store(true)
-	c.ticket = job.Begin(c.intake.desk, job.Ask{Tariff: t, Group: g, Session: s.Session, Wait: wait,
-		After: s.After * int64(time.Millisecond)}, c, trip.Cargo{Nodes: c.intake.nodes, Statement: s})
-	go c.work(c.ticket)
+	turn.ticket = job.Begin(c.intake.desk, job.Ask{Tariff: t, Group: g, Session: s.Session, Wait: wait,
+		After: s.After * int64(time.Millisecond)}, turn, trip.Cargo{Nodes: c.intake.nodes, Statement: s})
+	go c.work(turn.ticket)
 	return nil
 }
 
+// take puts a turn behind the others, and tells whether the connection was about to end.
+func (c *client) take(t *turn) (ending bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ending = c.idleSince.Swap(0) == closing
+	c.turns = append(c.turns, t)
+	c.hands.Store(int32(len(c.turns)))
+	return ending
+}
+
 func (c *client) work(t *desk.Ticket) {
 	defer func() {
 		if p := recover(); p != nil {
@@ -284,7 +346,7 @@
 }
 
 func (c *client) wrong(state, words string) error {
-	return c.say(pg.AppendReady(pg.AppendError(nil, "ERROR", state, words, "")))
+	return c.reply(pg.AppendReady(pg.AppendError(nil, "ERROR", state, words, "")))
 }
 
 // say writes to the client, which has so long to read it.
@@ -323,16 +385,42 @@
 	return true
 }
 
-// answer ends the job on this connection: the next query may come, and its id may be used anew.
-func (c *client) answer(parts ...[]byte) {
-	c.intake.unclaim(c.id)
-	if err := c.say(parts...); err != nil {
-		c.sock.Close()
+// reply answers what no job was made of, in its turn.
+func (c *client) reply(parts ...[]byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.turns) == 0 {
+		return c.say(parts...)
+	}
+	c.turns = append(c.turns, &turn{client: c, parts: parts})
+	c.hands.Store(int32(len(c.turns)))
+	return nil
+}
+
+// answer ends a job: its id may be used anew, and its answer goes out once those before it are out.
+func (t *turn) answer(parts ...[]byte) {
+	c := t.client
+	c.intake.unclaim(t.id)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.left {
+		return
+	}
+	if t.parts = parts; t != c.turns[0] {
+		t.keep()
+	}
+	for len(c.turns) > 0 && c.turns[0].parts != nil {
+		next := c.turns[0]
+		if err := c.say(next.parts...); err != nil {
+			c.sock.Close()
+		}
+		c.intake.budget.Give(next.kept)
+		c.turns = slices.Delete(c.turns, 0, 1)
 	}
-	if !c.waiting.Load() {
+	if len(c.turns) == 0 && !c.waiting.Load() {
 		c.idle(c.intake.desk.Now())
 	}
-	c.busy.Store(false)
+	c.hands.Store(int32(len(c.turns)))
 	if c.waiting.Load() || c.intake.isLeaving() {
 		c.sock.SetReadDeadline(ring.Past)
 		select {
@@ -342,17 +430,33 @@
 	}
 }
 
+// keep counts a long answer that has to wait. One for which there is no memory is given up: its job has run.
+func (t *turn) keep() {
+	size := 0
+	for _, p := range t.parts {
+		size += len(p)
+	}
+	if size <= ring.First {
+		return
+	}
+	if t.client.intake.budget.Try(size) {
+		t.kept = size
+	} else {
+		t.parts = [][]byte{pg.AppendReady(pg.AppendTermination(nil))}
+	}
+}
+
 // Done implements job.Client.
-func (c *client) Done(value []byte) { c.answer(value, pg.AppendReady(nil)) }
+func (t *turn) Done(value []byte) { t.answer(value, pg.AppendReady(nil)) }
 
 // Bounced implements job.Client.
-func (c *client) Bounced(stayAway int64) {
+func (t *turn) Bounced(stayAway int64) {
 	detail := ""
 	if ms := (stayAway + int64(time.Millisecond) - 1) / int64(time.Millisecond); ms > 0 {
 		detail = strconv.FormatInt(ms, 10)
 	}
-	c.answer(pg.AppendReady(pg.AppendBounce(nil, detail)))
+	t.answer(pg.AppendReady(pg.AppendBounce(nil, detail)))
 }
 
 // Terminated implements job.Client.
-func (c *client) Terminated() { c.answer(pg.AppendReady(pg.AppendTermination(nil))) }
+func (t *turn) Terminated() { t.answer(pg.AppendReady(pg.AppendTermination(nil))) }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -211,7 +211,7 @@
 	t.closed = true
 	t.listener.Close()
 	for c := range t.clients {
-		if !c.closeIdle(c.idleSince.Load()) && !c.busy.Load() {
+		if !c.closeIdle(c.idleSince.Load()) && c.hands.Load() == 0 {
 			c.sock.SetReadDeadline(ring.Past)
 		}
 	}
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -59,6 +59,12 @@
 	return n <= b.bytes && b.left.Acquire(ctx, n) == nil
 }
 
+// Try takes so many bytes at once or not at all; Give gives them back.
+func (b *Budget) Try(n int) bool { return b == nil || b.left.TryAcquire(int64(n)) }
+
+// Give gives back what Try took.
+func (b *Budget) Give(n int) { b.give(int64(n)) }
+
 func (b *Budget) give(n int64) {
 	if b != nil && n > 0 {
 		b.left.Release(n)
