--- a/cmd/sedgestream/main_test.go
+++ b/cmd/sedgestream/main_test.go
@@ -598,6 +598,15 @@
 	}
 }
 
+// A client that says it waits for days waits as the settings say.
+func TestWaitsForDays(t *testing.T) {
+	n := newNode(t, "source")
+	n.job = func(b *pgproto3.Backend, c net.Conn, _ string) { io.Copy(io.Discard, c) }
+	f := newFleet(t, n)
+	f.contract = strings.ReplaceAll(contract, `"deadlineUs":30000000`, `"deadlineUs":300000`)
+	f.start().open(change("once", 1<<31-1)).expect("57014")
+}
+
 // A client that goes while its job waits is noticed, and nothing more goes out for that job.
 func TestClientGone(t *testing.T) {
 	n := newNode(t, "source")
--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -15,6 +15,7 @@
 	Zero  int64          // of positions on the simulator's wire
 	Place bool           // reports give the node's position
 	Role  bool           // and whether it is the primary
+	Waits []int64        // for so long the clients of each tariff wait at most; 0: not said
 }
 
 // Read makes a contract of the settings. It leaves by a field.Malformed.
@@ -68,6 +69,7 @@
 			t.Bound = n * 1000
 		}
 		c.Tariffs = append(c.Tariffs, t)
+		c.Waits = append(c.Waits, us(v, "deadlineUs", false))
 	}
 	return c
 }
--- a/internal/intake/client.go
+++ b/internal/intake/client.go
@@ -314,8 +314,13 @@
 	if !c.intake.claim(s.ID) {
 		return c.wrong(pg.StrangeValue, "a query with this id is open already")
 	}
-	// What the query has waited here counts against its client's time.
-	wait := s.Wait*int64(time.Millisecond) - (c.intake.desk.Now() - c.readAt)
+	// No client waits for longer than the settings say: guards against times that would hold a place for days. What
+	// the query has waited here counts against its client's time.
+	wait := s.Wait * int64(time.Millisecond)
+	if most := c.intake.contract.Waits[t]; most > 0 {
+		wait = min(wait, most)
+	}
+	wait -= c.intake.desk.Now() - c.readAt
 	turn := &turn{client: c, id: s.ID}
 	if c.take(turn) {
 		c.intake.changed()
