Checked reads that no fresh replica has room for go to half of the primary's room

Probed (bounces by reason, beside what each node holds, five times a second): 300 to 560 of a second's bounces were bounded reads for which some replica was known fresh but none of these had room; most other replicas lagged by seconds. Ruled out: nodes set aside (one, which did fail), cold nodes (none or one), descriptors, CPU. Lines at fault: balance.go, place(): with no fresh replica such reads go on to the primary, with one that is full they were given up. The design's page says "to the least busy replica holding what they must see, else to the primary"; its claim is that most bounded and any reads go to replicas.

Changed: they go on to the primary as those for which no replica is fresh do, into half of its room at most.

TestWhoGetsRoom, extended, fails on the module before and passes now.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -142,16 +142,16 @@
 	}
 	if t.Need < Fresh && !j.held {
 		n, fresh := r.replica(j, now)
-		if n >= 0 {
+		switch {
+		case n >= 0:
 			r.send(j, n, now)
-		} else if fresh {
+			return
+		case fresh && t.Need == Any: // checked reads go on to the primary's spare room
 			r.giveUp(j, now, 0)
-		}
-		if fresh {
 			return
 		}
 		j.fallback = true
-		j.held = soon && r.ask(j, len(r.nodes), 4*r.sweep, now)
+		j.held = !fresh && soon && r.ask(j, len(r.nodes), 4*r.sweep, now)
 	}
 	if !j.held {
 		r.toPrimary(j, now)
