Sparse routers no longer send checked reads on to the primary

Cause: with checked reads that no fresh replica has room for go to half of the primary's room. At a sparse router half is taken of a primary of which it sees next to nothing, and hundreds do so at once.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -146,7 +146,7 @@
 		case n >= 0:
 			r.send(j, n, now)
 			return
-		case fresh && t.Need == Any: // checked reads go on to the primary's spare room
+		case fresh && (t.Need == Any || r.sparse()): // else checked reads go on to the primary's spare room
 			r.giveUp(j, now, 0)
 			return
 		}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -182,6 +182,23 @@
 	want(t, l, 1, 1, 1, 1, 0, 0, 1, 1)
 }
 
+// Guards against hundreds of routers that each think half of a primary's room theirs, since their own counts tell them
+// nothing: writes would be late there. Without a fresh replica such reads still go to the primary.
+func TestSparseRouterSparesPrimary(t *testing.T) {
+	for _, dense := range []bool{false, true} {
+		l := trio(shop(), 0, 0)
+		l.dense = dense
+		for n := 1; n <= 2; n++ { // fresh, and full by what they show and by their rooms
+			l.r.nodes[n].shown, l.r.nodes[n].shownAt, l.r.nodes[n].room.size = mostRoom, l.now, 0
+		}
+		l.take(int(Bounded), 0, 0, 1000*ms, 0)
+		l.pass(50 * ms)
+		if toPrimary := slices.Equal(l.open(), []int{0}); toPrimary != dense {
+			t.Errorf("dense %v: trips out at %v; %v", dense, l.open(), l.log)
+		}
+	}
+}
+
 // Guards against lost messages read as crowding: a trip passed over by many others holds no room.
 func TestLostTripsHoldNoRoom(t *testing.T) {
 	l := trio(shop(), 0, 5000*ms)
