--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test race lint fuzz run
+.PHONY: build test race lint fuzz run measure-terms
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -17,6 +17,7 @@
 fuzz:
 	go test -run '^$$' -fuzz FuzzParsers -fuzztime $${FUZZ:-30s} ./internal/pg
 	go test -run '^$$' -fuzz FuzzDiscovery -fuzztime $${FUZZ:-30s} ./internal/list
+	go test -run '^$$' -fuzz FuzzParse -fuzztime $${FUZZ:-30s} ./internal/termsfile
 
 # One router by the configuration that ROUTER_CONFIG names; see README.md.
 run: build
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -105,8 +105,8 @@
 }
 
 // Take accepts the job at p. Its client waits for the time given; wrote is how long ago its session
-// wrote, 0 for never, where sessions carry that.
-func (r *Router) Take(now int64, p Place, t, g int, session uint64, wait, wrote int64) {
+// wrote, 0 for never, where sessions carry that. The terms narrow what follows.
+func (r *Router) Take(now int64, p Place, t, g int, session uint64, wait, wrote int64, terms *Terms) {
 	j := &r.jobs[p]
 	if r.purse += probing; !r.sparse() || r.isTold(now) {
 		r.purse -= probing * (1 - quick/2)
@@ -114,7 +114,10 @@
 	r.purse = min(r.purse, float64(len(r.group(g).members)))
 	*j = job{place: p, live: true, tariff: int32(t), group: int32(g), session: session, trips: j.trips[:0],
 		taken: now, wanted: now + min(wait, r.tariffs[t].ContractTime), limit: now + wait,
-		holdEnd: now + int64(holdShare*float64(wait))}
+		holdEnd: now + int64(holdShare*float64(wait)), most: r.maxTrips, terms: *terms}
+	if terms.Trips > 0 {
+		j.most = min(j.most, int(terms.Trips))
+	}
 	j.lot = 1 - r.one()
 	if !r.carried {
 		j.need = r.lastWrite(session)
@@ -128,7 +131,7 @@
 func (r *Router) place(j *job, now int64) {
 	t := &r.tariffs[j.tariff]
 	late := now + int64(t.usual/2)
-	if !r.mayRepeat(j, now) || late > j.limit || t.LateShare == 0 && late > j.wanted {
+	if j.terms.Refused || !r.mayRepeat(j, now) || late > j.limit || t.LateShare == 0 && late > j.wanted {
 		r.giveUp(j, now, 0)
 		return
 	}
@@ -340,7 +343,7 @@
 // not tried yet and not just shown to be a replica. The last trips are for after it.
 func (r *Router) nextMember(j *job, now int64) int32 {
 	best, top := int32(-1), int64(-1)
-	if r.tariffs[j.tariff].Need != Write || len(j.trips) >= r.maxTrips-2 {
+	if r.tariffs[j.tariff].Need != Write || len(j.trips) >= j.most-2 {
 		return best
 	}
 	for _, n := range r.groups[j.group].members {
@@ -390,7 +393,7 @@
 
 // mayRepeat tells whether another trip is allowed by the job's tariff, wherever it goes in its group.
 func (r *Router) mayRepeat(j *job, now int64) bool {
-	if j.over || len(j.trips) >= r.maxTrips || j.out > 0 && !r.second || now >= j.limit {
+	if j.over || len(j.trips) >= j.most || j.out > 0 && (!r.second || j.terms.NoCopies) || now >= j.limit {
 		return false
 	}
 	t, first := &r.tariffs[j.tariff], j.mayHaveRun()
@@ -410,13 +413,13 @@
 // circled tells whether the node is in the circle that discards repeats of the job; none leaves its group.
 func (r *Router) circled(j *job, n int32) bool {
 	t, first := &r.tariffs[j.tariff], j.mayHaveRun()
-	return t.Repeat != Numbered || t.Circle != OfZone || first == nil ||
+	return !j.terms.InZone && (t.Repeat != Numbered || t.Circle != OfZone) || first == nil ||
 		r.nodes[first.node].zone == r.nodes[n].zone
 }
 
 func (r *Router) send(j *job, n int32, now int64) {
 	m, t := &r.nodes[n], &r.tariffs[j.tariff]
-	if !r.circled(j, n) {
+	if !r.circled(j, n) || len(j.trips) > 0 && j.terms.Counted && !r.out.Grant(j.place, j.out > 0) {
 		r.giveUp(j, now, 0)
 		return
 	}
@@ -430,7 +433,13 @@
 	m.held++
 	r.decay(m, now)
 	m.work += t.usual
-	r.out.Submit(j.place, int(n), j.limit)
+	until := j.limit
+	if j.terms.TripTime > 0 {
+		until = min(until, now+j.terms.TripTime)
+	} else if j.terms.TripShare > 0 {
+		until = min(until, now+(until-now)*j.terms.TripShare/Whole)
+	}
+	r.out.Submit(j.place, int(n), until)
 }
 
 // Ended takes in a trip's ending. If settled, the client has had its answer.
@@ -483,6 +492,10 @@
 		if !k.late && e == TimedOut { // a client that waits briefly: it would have taken longer
 			r.learn(m, k.crowd+1, min(tooLate, 2*float64(took)/float64(t.ContractTime)))
 		}
+		// late does not see silence in trips that their terms end sooner than that.
+		if j.terms.TripTime+j.terms.TripShare > 0 && !k.late && m.heard <= k.sent && now >= m.aside {
+			r.failed(m, now, 1)
+		}
 	}
 	if t.Need == Write {
 		note.Position = 0 // a commit's is rounded up, so it is no lower bound
@@ -498,11 +511,35 @@
 }
 
 func (r *Router) afterTrip(j *job, e Ending, now int64) {
-	if j.out == 0 || e == Miss || e == Full {
+	if j.out > 0 && e != Miss && e != Full {
+		return
+	}
+	switch pause := r.pause(j); {
+	case j.terms.Again != 0 && j.terms.Again>>e&1 == 0, pause > 0 && !r.mayRepeat(j, now+pause):
+		r.giveUp(j, now, 0)
+	case pause > 0 && j.out == 0:
+		j.held, j.resume = true, now+pause
+	default:
 		r.place(j, now)
 	}
 }
 
+// pause is for how long the job's terms keep it from its next trip, which doubles with each.
+func (r *Router) pause(j *job) int64 {
+	t := &j.terms
+	p := t.Pause
+	if p == 0 {
+		return 0
+	}
+	for n := len(j.trips); n > 1 && p < j.limit-j.taken && (t.MostPause == 0 || p < t.MostPause); n-- {
+		p *= 2
+	}
+	if t.MostPause > 0 {
+		p = min(p, t.MostPause)
+	}
+	return p - r.chance.below(p*t.Jitter/Whole)
+}
+
 // learn takes in how long a trip took, as a part of its contract time, with so many trips at the node.
 // Where time goes up with their number, room follows it to the number at which a trip takes half its
 // contract time. Guards against overload, slow nodes and other routers' traffic alike; it harms where
@@ -580,6 +617,9 @@
 		return
 	}
 	j.over = true
+	if away = max(away, j.terms.AwayLeast); j.terms.AwayMost > 0 {
+		away = min(away, j.terms.AwayMost)
+	}
 	t := &r.tariffs[j.tariff]
 	if t.Repeat == Reissuable || j.mayHaveRun() == nil || t.Repeat == Numbered && t.Circle == OfAll {
 		r.out.Bounce(j.place, away)
@@ -681,7 +721,7 @@
 func (r *Router) release(now int64) {
 	r.waiting = r.waiting[:0]
 	for i := range r.jobs {
-		if j := &r.jobs[i]; j.live && j.held && !j.over {
+		if j := &r.jobs[i]; j.live && j.held && !j.over && now >= j.resume {
 			r.waiting = append(r.waiting, Place(i))
 		}
 	}
@@ -703,6 +743,9 @@
 func (r *Router) late(j *job, now int64) (waits bool) {
 	t := &r.tariffs[j.tariff]
 	overdue := max(int64(2*t.usual), t.ContractTime/2)
+	if j.terms.CopyAfter > 0 {
+		overdue = j.terms.CopyAfter
+	}
 	for i := range j.trips {
 		k := &j.trips[i]
 		if !k.out {
@@ -721,7 +764,7 @@
 			}
 			k.late = k.lost || passed < passes
 		}
-		waits = waits || m.aside <= now && (now-k.sent < overdue || passed < passes)
+		waits = waits || m.aside <= now && (now-k.sent < overdue || j.terms.CopyAfter == 0 && passed < passes)
 	}
 	return waits
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -55,6 +55,15 @@
 		switch what := draw(12); {
 		case what < 4:
 			wait := int64(draw(1000)+1) * ms
+			l.terms, l.grants = Terms{}, 1<<30
+			if draw(2) == 0 {
+				l.terms = Terms{Trips: int32(draw(4)), Again: uint16(draw(1 << 7)), Refused: draw(8) == 0, NoCopies: draw(4) == 0,
+					InZone: draw(2) == 0, Counted: draw(2) == 0, TripTime: int64(draw(3)*draw(200)) * ms, TripShare: int64(draw(Whole)),
+					Pause: int64(draw(2)*draw(50)) * ms, MostPause: int64(draw(2)*draw(90)) * ms, Jitter: int64(draw(Whole)),
+					CopyAfter: int64(draw(2)*draw(150)) * ms, AwayLeast: int64(draw(2)*draw(90)) * ms}
+				l.terms.AwayMost = int64(draw(2)) * (l.terms.AwayLeast + int64(draw(90))*ms)
+				l.grants = draw(8)
+			}
 			l.take(draw(len(c.Tariffs)), 0, uint64(draw(3)), wait, int64(draw(400))*ms)
 		case what < 8:
 			if i := draw(max(1, len(l.trips))); i < len(l.trips) && l.trips[i].open {
@@ -151,7 +160,7 @@
 	if n := testing.AllocsPerRun(1000, func() {
 		now, r.borne = now+5*ms, dense
 		p := r.Seat()
-		r.Take(now, p, int(Any), 0, 0, 1000*ms, 0)
+		r.Take(now, p, int(Any), 0, 0, 1000*ms, 0, &Terms{})
 		r.Ended(now+ms, p, 0, Done, true, ms, Note{Replica, now}, Report{Queue: -1, Held: -1})
 		r.Wake(now)
 	}); n > 0 {
@@ -199,6 +208,47 @@
 	}
 }
 
+// Guards against terms that don't reach the trips: an outage's pauses, a trip's own time, and a copy after its time, which
+// the design would not send yet.
+func TestTerms(t *testing.T) {
+	l := trio(shop(), 0, 0)
+	l.terms = Terms{TripTime: 40 * ms, Pause: 30 * ms, Again: 1 << TimedOut, Trips: 3}
+	p := l.take(int(Any), 0, 0, 1000*ms, 0)
+	l.pass(45 * ms) // the trip is over
+	if want(t, l); l.jobs[p] == nil {
+		t.Fatal("given up in its pause", l.log)
+	}
+	if l.pass(40 * ms); len(l.open()) != 1 {
+		t.Fatal("no trip after the pause: ", l.log)
+	}
+	l.pass(45*ms + 65*ms) // twice as long a pause
+	if finish(l, len(l.trips)-1, Broken); len(l.trips) != 0 || l.broken != "" {
+		t.Fatal("sent again after another ending: ", l.broken, l.log)
+	}
+	l.terms = Terms{CopyAfter: 50 * ms, Counted: true}
+	l.take(int(Any), 0, 0, 1000*ms, 0)
+	if l.pass(60 * ms); len(l.open()) != 1 {
+		t.Fatal("a copy that was not granted: ", l.log)
+	}
+	l.grants = 1
+	if l.pass(10 * ms); len(l.open()) != 2 {
+		t.Fatal("no copy after its time: ", l.log)
+	}
+}
+
+// Guards against nodes that hang among jobs whose trips end before their contract time: they are set aside all the same.
+func TestShortTripsShowSilence(t *testing.T) {
+	l := trio(shop(), 5000*ms, 5000*ms)
+	l.terms = Terms{TripTime: 20 * ms, Trips: 1}
+	for range distrust {
+		l.take(int(Fresh), 0, 0, 1000*ms, 0)
+		l.pass(25 * ms)
+	}
+	if m := &l.r.nodes[0]; m.aside <= l.now {
+		t.Fatalf("%+v", *m)
+	}
+}
+
 // Guards against lost messages read as crowding: a trip passed over by many others holds no room.
 func TestLostTripsHoldNoRoom(t *testing.T) {
 	l := trio(shop(), 0, 5000*ms)
--- a/balance/helpers_test.go
+++ b/balance/helpers_test.go
@@ -23,6 +23,7 @@
 	place     Place
 	leg, node int
 	sent      int64
+	until     int64
 	open      bool
 	ending    Ending
 }
@@ -45,13 +46,19 @@
 	watches int
 	log     []string
 	broken  string
-	dense   bool // the router is to think that its own counts tell something
+	terms   Terms // of the jobs to come
+	grants  int   // how many of the next further trips are granted
+	granted Place // whom the last one was granted to, until its trip; below 0: nobody
+	dense   bool  // the router is to think that its own counts tell something
 }
 
 type kept struct {
 	tariff, group int
 	need, limit   int64
 	ended         bool
+	terms         Terms
+	last          int64 // when a trip of it last ended, and how
+	ending        Ending
 }
 
 func newLedger(c *Contract, seed uint64) *ledger {
@@ -98,6 +105,7 @@
 	if first >= 0 && (t.Repeat == AtMostOnce || t.Repeat == Numbered && l.now > first+t.Window) {
 		l.breaks("job %d again, which may have run", p)
 	}
+	l.checkTerms(p, j, leg, open, until)
 	need := j.need
 	if t.Need == Bounded {
 		need = l.now - t.Bound
@@ -108,7 +116,47 @@
 		(t.Need == Fresh || l.best[node] < need) {
 		l.breaks("a stale read at node %d", node)
 	}
-	l.trips = append(l.trips, outTrip{p, leg, node, l.now, true, Done})
+	l.trips = append(l.trips, outTrip{p, leg, node, l.now, until, true, Done})
+}
+
+// checkTerms checks a trip against its job's terms, plainly.
+func (l *ledger) checkTerms(p Place, j *kept, leg, open int, until int64) {
+	t, longest := &j.terms, j.limit
+	switch {
+	case t.TripTime > 0:
+		longest = min(longest, l.now+t.TripTime)
+	case t.TripShare > 0:
+		longest = l.now + (j.limit-l.now)*t.TripShare/Whole
+	}
+	if until != longest {
+		l.breaks("trip %d of job %d lasts %d, not %d", leg, p, until-l.now, longest-l.now)
+	}
+	if t.Refused || t.Trips > 0 && leg >= int(t.Trips) || open > 0 && t.NoCopies {
+		l.breaks("trip %d of job %d with %d out beyond its terms %+v", leg, p, open, *t)
+	}
+	if leg > 0 && t.Counted && l.granted != p {
+		l.breaks("trip %d of job %d was granted to %d", leg, p, l.granted)
+	}
+	l.granted = -1
+	pause := t.Pause
+	if t.MostPause > 0 {
+		pause = min(pause, t.MostPause)
+	}
+	if leg > 0 && open == 0 && l.now < j.last+pause-pause*t.Jitter/Whole {
+		l.breaks("job %d paused for %d only", p, l.now-j.last)
+	}
+	if leg == 1 && open == 0 && t.Again != 0 && t.Again>>j.ending&1 == 0 {
+		l.breaks("job %d went again after %d", p, j.ending)
+	}
+}
+
+// Grant grants so many.
+func (l *ledger) Grant(p Place, copy bool) bool {
+	if l.grants--; l.grants < 0 {
+		return false
+	}
+	l.granted = p
+	return true
 }
 
 func (l *ledger) final(p Place) {
@@ -124,7 +172,10 @@
 
 func (l *ledger) Bounce(p Place, stayAway int64) {
 	l.say("bounce %d %d", p, stayAway)
-	t := l.c.Tariffs[l.jobs[p].tariff]
+	t, terms := l.c.Tariffs[l.jobs[p].tariff], l.jobs[p].terms
+	if stayAway < terms.AwayLeast || terms.AwayMost > 0 && stayAway > terms.AwayMost {
+		l.breaks("job %d bounced for %d", p, stayAway)
+	}
 	for _, k := range l.trips {
 		if k.place == p && (k.open || k.ending > Moot) && t.Repeat != Reissuable &&
 			(t.Repeat == AtMostOnce || t.Circle != OfAll) {
@@ -178,12 +229,12 @@
 		l.r.borne = dense
 	}
 	p := l.r.Seat()
-	j := &kept{tariff: t, group: g, limit: l.now + wait}
+	j := &kept{tariff: t, group: g, limit: l.now + wait, terms: l.terms}
 	if l.c.SessionsCarried && wrote > 0 && l.c.Tariffs[t].Need == Session {
 		j.need = l.now - wrote
 	}
 	l.jobs[p] = j
-	l.r.Take(l.now, p, t, g, session, wait, wrote)
+	l.r.Take(l.now, p, t, g, session, wait, wrote, &l.terms)
 	return p
 }
 
@@ -198,6 +249,7 @@
 		delete(l.replica, k.node)
 	}
 	j := l.jobs[k.place]
+	j.last, j.ending = l.now, e
 	settled := e == Done && !j.ended
 	j.ended = j.ended || settled
 	if note.Position > 0 && l.c.Tariffs[j.tariff].Need != Write {
@@ -222,7 +274,7 @@
 	for until := l.now + span; l.now < until; {
 		l.now += 5 * ms
 		for i := 0; i < len(l.trips); i++ {
-			if j := l.jobs[l.trips[i].place]; l.trips[i].open && l.now >= j.limit {
+			if j := l.jobs[l.trips[i].place]; l.trips[i].open && l.now >= min(j.limit, l.trips[i].until) {
 				l.end(i, TimedOut, Note{}, Report{Queue: -1, Held: -1})
 				i = -1
 			}
--- a/balance/state.go
+++ b/balance/state.go
@@ -56,6 +56,9 @@
 	need                       int64   // position that a session read must see
 	taken, wanted              int64   // when it came in, and its contract time
 	limit, holdEnd             int64   // its hard limit, and until when it may be held
+	resume                     int64   // before which it pauses
+	most                       int     // trips
+	terms                      Terms
 	trips                      []trip
 }
 
--- a/balance/types.go
+++ b/balance/types.go
@@ -68,6 +68,28 @@
 	SessionsCarried bool // session reads say how long ago their session wrote
 }
 
+// Whole is what parts of one are counted in.
+const Whole = 1 << 10
+
+// Terms narrow what a router does with one job; the zero value narrows nothing. Times are in nanoseconds, parts in
+// Whole. They stay the job's to its last trip.
+type Terms struct {
+	Trips     int32  // at most; 0: as many as the contract allows
+	Again     uint16 // endings after which another trip may follow, a bit each; 0: all
+	Refused   bool   // it is to be given up as it comes
+	NoCopies  bool
+	InZone    bool  // further trips stay in the zone of the first that may have run
+	Counted   bool  // each further trip has to be granted by Outside.Grant
+	TripTime  int64 // after which a trip is ended; 0: at the hard limit
+	TripShare int64 // or the part of what is left then; 0: all of it
+	Pause     int64 // before the second trip, doubled for each further one
+	MostPause int64 // 0: no bound
+	Jitter    int64 // part of a pause that is left to chance
+	CopyAfter int64 // a trip out for so long may have a second beside it; 0: as the design has it
+	AwayLeast int64 // a bounce asks to stay away for so long at least,
+	AwayMost  int64 // and at most; 0: no bound
+}
+
 // Standing is what the list says of a node.
 type Standing uint8
 
@@ -127,6 +149,7 @@
 type Outside interface {
 	Submit(p Place, node int, until int64)
 	Revoke(p Place, leg int)
+	Grant(p Place, copy bool) bool // whether a job that is Counted may have a further trip, which then follows
 	Bounce(p Place, stayAway int64)
 	Terminate(p Place)
 	Alarm(after int64)
--- /dev/null
+++ b/cmd/sedgestream/completion.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/alecthomas/kong"
+)
+
+type completion struct {
+	Shell string `arg:"" enum:"bash,zsh,fish" help:"One of ${enum}."`
+}
+
+func (completion) Help() string { return "Example:\n\n    . <(sedgestream completion bash)" }
+
+// Run prints a script that knows the words and flags behind each word of the command line.
+func (c *completion) Run(k *kong.Kong) error {
+	fmt.Fprintln(k.Stdout, map[string]string{"bash": bashHead, "zsh": "autoload -U +X bashcompinit && bashcompinit\n" + bashHead, "fish": fishHead}[c.Shell])
+	walk(k.Model.Node, nil, func(path, words []string) {
+		if c.Shell == "fish" {
+			fmt.Fprintf(k.Stdout, "complete -c sedgestream -f -n '__sedgestream_at %s' -a '%s'\n", quoted(path), strings.Join(words, " "))
+		} else {
+			fmt.Fprintf(k.Stdout, "    %q) words=%q ;;\n", strings.Join(path, " "), strings.Join(words, " "))
+		}
+	})
+	if c.Shell != "fish" {
+		fmt.Fprintln(k.Stdout, bashTail)
+	}
+	return nil
+}
+
+func quoted(path []string) string {
+	if len(path) == 0 {
+		return "''"
+	}
+	return strings.Join(path, " ")
+}
+
+func walk(n *kong.Node, path []string, tell func(path, words []string)) {
+	var words []string
+	for _, child := range n.Children {
+		if !child.Hidden {
+			words = append(words, child.Name)
+		}
+	}
+	for _, group := range n.AllFlags(true) {
+		for _, f := range group {
+			words = append(words, "--"+f.Name)
+		}
+	}
+	tell(path, words)
+	for _, child := range n.Children {
+		walk(child, append(path[:len(path):len(path)], child.Name), tell)
+	}
+}
+
+const bashHead = `_sedgestream() {
+    local at="" w words
+    for w in "${COMP_WORDS[@]:1:COMP_CWORD-1}"; do
+        case "$w" in -*) ;; run|check|terms|explain|diff|schema|completion) at="${at:+$at }$w" ;; esac
+    done
+    case "$at" in`
+
+const bashTail = `    esac
+    if [[ ${COMP_WORDS[COMP_CWORD]} == -* || -z $(compgen -f -- "${COMP_WORDS[COMP_CWORD]}") ]]; then
+        COMPREPLY=($(compgen -W "$words" -- "${COMP_WORDS[COMP_CWORD]}"))
+    else
+        COMPREPLY=($(compgen -W "$words" -f -- "${COMP_WORDS[COMP_CWORD]}"))
+    fi
+}
+complete -F _sedgestream sedgestream`
+
+const fishHead = `function __sedgestream_at
+    set -l have (string match -v -- '-*' (commandline -opc)[2..-1])
+    test "$have" = "$argv"
+end`
--- a/cmd/sedgestream/main.go
+++ b/cmd/sedgestream/main.go
@@ -1,30 +1,188 @@
 // Command sedgestream is one router: it takes jobs from clients, steers them to the nodes of a replicated
-// store, and answers.
+// store, and answers. Beside that it answers operators' questions about the files that routers read.
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
+	"time"
 
+	"github.com/alecthomas/kong"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
+	"sedgestream/internal/advise"
 	"sedgestream/internal/service"
+	"sedgestream/internal/termsfile"
 )
 
-func main() {
-	log, err := zap.NewProduction()
-	if err == nil {
-		// Each has room of its own, so that no reload keeps the word to stop out.
-		stops, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
-		signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
-		signal.Notify(reloads, syscall.SIGHUP)
-		err = service.New(log, reloads).Run(stops)
-		log.Sync()
+// line is the command line.
+type line struct {
+	Version kong.VersionFlag `help:"Tell the version and leave."`
+
+	Run   run   `cmd:"" default:"withargs" help:"Be a router (what sedgestream does without a word). ROUTER_CONFIG names the platform's file."`
+	Check check `cmd:"" help:"Read the platform's file as a router would, and tell all that is wrong with it."`
+	Terms struct {
+		Check   termsCheck   `cmd:"" help:"Prove a file of terms against the contract and the rules."`
+		Explain termsExplain `cmd:"" help:"Tell which route a job takes, why not the others, and its worst case."`
+		Diff    termsDiff    `cmd:"" help:"Tell which jobs another file of terms would treat otherwise."`
+		Schema  termsSchema  `cmd:"" help:"Print the JSON schema of files of terms."`
+	} `cmd:"" help:"Terms of routes: time-outs, trips, second copies, budgets."`
+	Completion completion `cmd:"" help:"Print a completion script for a shell."`
+}
+
+type run struct {
+	Terms    string `type:"path" placeholder:"FILE" env:"SEDGESTREAM_TERMS" help:"File of terms; read again on SIGHUP."`
+	LogLevel string `enum:"debug,info,warn,error" default:"info" env:"SEDGESTREAM_LOG_LEVEL" help:"Least level that is logged: ${enum}."`
+}
+
+func (run) Help() string {
+	return "Example:\n\n    ROUTER_CONFIG=config.json sedgestream run --terms deploy/terms.json"
+}
+
+func (r *run) Run() error {
+	log, err := logger(r.LogLevel)
+	if err != nil {
+		return err
+	}
+	defer log.Sync()
+	// Each has room of its own, so that no reload keeps the word to stop out.
+	stops, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reloads, syscall.SIGHUP)
+	return service.New(log, r.Terms, reloads).Run(stops)
+}
+
+// logger writes JSON lines, or readable ones to a terminal.
+func logger(level string) (*zap.Logger, error) {
+	c := zap.NewProductionConfig()
+	if s, err := os.Stderr.Stat(); err == nil && s.Mode()&os.ModeCharDevice != 0 {
+		c.Encoding = "console"
+		c.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
+		c.EncoderConfig.EncodeLevel = zapcore.CapitalLevelEncoder
+	}
+	if err := c.Level.UnmarshalText([]byte(level)); err != nil {
+		return nil, err
+	}
+	return c.Build()
+}
+
+// form is that of answers.
+type form struct {
+	JSON bool `name:"json" help:"Answer in JSON."`
+}
+
+func (f form) desk() *advise.Desk {
+	return &advise.Desk{Out: os.Stdout, Err: os.Stderr, JSON: f.JSON, Env: os.Getenv}
+}
+
+type check struct {
+	form
+	File string `arg:"" name:"config" help:"The platform's file."`
+}
+
+func (check) Help() string {
+	return "Faults go to standard error as file:line:column: reason. Exit 0: a router would start; 1: it would not.\n\nExample:\n\n    sedgestream check config.json"
+}
+func (c *check) Run() error { return c.desk().Check(c.File) }
+
+// posting is what terms are proved against.
+type posting struct {
+	Config string `required:"" env:"ROUTER_CONFIG" placeholder:"CONFIG" help:"The platform's file, which has the contract."`
+}
+
+type termsCheck struct {
+	form
+	posting
+	File string `arg:"" help:"File of terms."`
+}
+
+func (termsCheck) Help() string {
+	return "Exit 0: routers would take the file; 1: they would not, and standard error says why.\n\nExample:\n\n    sedgestream terms check deploy/terms.json --config config.json"
+}
+func (c *termsCheck) Run() error { return c.desk().CheckTerms(c.File, c.Config) }
+
+type termsExplain struct {
+	form
+	posting
+	File    string    `arg:"" help:"File of terms."`
+	Tariff  string    `required:"" help:"The job's tariff."`
+	Group   int64     `required:"" help:"Its group, as clients name it."`
+	Key     string    `default:"0" help:"Its object's key."`
+	Session bool      `help:"It carries its session's last commit."`
+	Again   bool      `help:"Its client marks it as asked once more."`
+	At      time.Time `help:"When it comes (RFC 3339); now if absent."`
+}
+
+func (termsExplain) Help() string {
+	return "Example:\n\n    sedgestream terms explain deploy/terms.json --config config.json --tariff submit-reading --group 2"
+}
+func (c *termsExplain) Run() error {
+	if c.At.IsZero() {
+		c.At = time.Now()
 	}
+	return c.desk().Explain(c.File, c.Config, advise.Asked{Tariff: c.Tariff, Group: c.Group, Key: c.Key, Session: c.Session,
+		Again: c.Again, At: c.At})
+}
+
+type termsDiff struct {
+	form
+	posting
+	Before string `arg:"" help:"File of terms in use."`
+	After  string `arg:"" help:"File of terms to come."`
+}
+
+func (termsDiff) Help() string {
+	return "Example:\n\n    sedgestream terms diff deploy/terms.json new.json --config config.json"
+}
+func (c *termsDiff) Run() error { return c.desk().Diff(c.Before, c.After, c.Config) }
+
+type termsSchema struct{}
+
+func (termsSchema) Help() string {
+	return "Example:\n\n    sedgestream terms schema > terms.schema.json"
+}
+func (termsSchema) Run() error {
+	_, err := os.Stdout.Write(termsfile.Text)
+	return err
+}
+
+const (
+	wrong  = 1 // what was asked about is wrong, or the router failed
+	misuse = 2
+)
+
+func main() {
+	var l line
+	parser := kong.Must(&l, kong.Name("sedgestream"), kong.UsageOnError(), kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
+		kong.Description("A router that steers reads and writes in a replicated store.\n\nExample:\n\n    ROUTER_CONFIG=config.json sedgestream"),
+		kong.Vars{"version": version()})
+	ctx, err := parser.Parse(os.Args[1:])
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "sedgestream:", err)
-		os.Exit(1)
+		fmt.Fprintf(os.Stderr, "sedgestream: %v (sedgestream --help tells more)\n", err)
+		os.Exit(misuse)
+	}
+	if err = ctx.Run(); err != nil {
+		if !errors.Is(err, advise.Wrong) {
+			fmt.Fprintln(os.Stderr, "sedgestream:", err)
+		}
+		os.Exit(wrong)
+	}
+}
+
+func version() string {
+	if b, ok := debug.ReadBuildInfo(); ok {
+		v := b.Main.Version
+		for _, s := range b.Settings {
+			if s.Key == "vcs.revision" && len(s.Value) >= 12 && (v == "" || v == "(devel)") {
+				v = s.Value[:12]
+			}
+		}
+		return "sedgestream " + v + " " + b.GoVersion
 	}
+	return "sedgestream"
 }
--- /dev/null
+++ b/cmd/sedgestream/terms_test.go
@@ -0,0 +1,280 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"sedgestream/internal/standin"
+)
+
+// brisk is a contract for days of failure: short times, second copies, up to 4 trips.
+var brisk = strings.NewReplacer(`"deadlineUs":30000000`, `"deadlineUs":2000000`, `"windowUs":30000000`, `"windowUs":1200000`,
+	`"sendCap":3`, `"sendCap":4`, `"secondCopies":false`, `"secondCopies":true`, `"connectTimeoutUs":5000000`,
+	`"connectTimeoutUs":100000`).Replace(standin.Contract)
+
+// generations of terms differ in how long a trip may take, which its node is told, and in how many there may be.
+var generations = []struct{ time, trips int }{{160, 4}, {320, 3}, {640, 2}}
+
+func termsOf(k int) string {
+	g := generations[k%len(generations)]
+	return fmt.Sprintf(`{"version": 1, "routes": [{"name": "all", "match": {}, "terms": {"trip_time": "%dms", "trips": %d}}]}`, g.time, g.trips)
+}
+
+// A reload every 50 ms under load, with failing, silent and slow nodes: each job has one answer, each of its trips the time
+// and number of one generation, and nothing runs twice that must not. Every fifth file is wrong and changes nothing.
+func TestTermsReloadUnderLoad(t *testing.T) {
+	nodes := []*standin.Node{standin.NewNode(t, "source"), standin.NewNode(t, "copy"), standin.NewNode(t, "copy"), standin.NewNode(t, "copy")}
+	troubles := []standin.Trouble{{Part: 0.1, State: "XX000"}, {Part: 0.05, Close: true}, {Part: 0.04, Delay: -1}, {Part: 0.1, Delay: 100 * time.Millisecond}}
+	for _, n := range nodes {
+		n.Troubled(2*time.Millisecond, troubles...)
+	}
+	f := newFleet(t, nodes...)
+	f.Contract = brisk
+	path := filepath.Join(t.TempDir(), "terms.json")
+	os.WriteFile(path, []byte(termsOf(0)), 0o600)
+	f.Args = []string{"run", "--terms", path}
+	f.Start(os.Args[0])
+	var asked, answered atomic.Int64
+	var clients sync.WaitGroup
+	stop := make(chan struct{})
+	for i := range 24 {
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			c := f.Open("")
+			c.Answer()
+			for n := i; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				query := standin.View(2000)
+				if k := n % 3; k > 0 {
+					query = standin.Change([]string{"", "order", "once"}[k], 2000)
+				}
+				asked.Add(1)
+				if c.Ask(query); strings.Contains(c.Answer(), "EOF") {
+					return
+				}
+				answered.Add(1)
+			}
+		}()
+	}
+	const reloads = 60
+	for k := 1; k <= reloads; k++ {
+		text := termsOf(k)
+		if k%5 == 0 {
+			text = strings.Replace(text, `"trips"`, `"trip"`, 1)
+		}
+		next := path + ".next"
+		os.WriteFile(next, []byte(text), 0o600)
+		os.Rename(next, path)
+		f.Cmd.Process.Signal(syscall.SIGHUP)
+		time.Sleep(50 * time.Millisecond)
+	}
+	close(stop)
+	clients.Wait()
+	if asked.Load() != answered.Load() || asked.Load() < 1000 {
+		t.Errorf("%d jobs, %d answers", asked.Load(), answered.Load())
+	}
+	if log := f.Lines(); strings.Count(log, `"msg":"terms"`) < reloads/2 || strings.Count(log, "the terms are wrong") < 2 ||
+		!strings.Contains(log, `there is no member \"trip\" here`) {
+		t.Error("reloads are missing in the log:\n", log)
+	}
+	trips := map[string][]standin.Ran{}
+	tariff := map[string]string{}
+	for _, n := range nodes {
+		for _, r := range n.Ledger() {
+			trips[r.ID] = append(trips[r.ID], r)
+		}
+		for _, q := range n.Got() {
+			_, id, _ := strings.Cut(q, "id=")
+			id, rest, _ := strings.Cut(id, ",c=")
+			tariff[id], _, _ = strings.Cut(rest, ",")
+		}
+	}
+	seen, again := map[int]int{}, 0
+	for id, ran := range trips {
+		k := generation(ran[0].Wait)
+		seen[k]++
+		if len(ran) > 1 {
+			again++
+		}
+		if tariff[id] == "once" && len(ran) > 1 || len(ran) > generations[k].trips {
+			t.Errorf("job %s of %s ran %d times by generation %d", id, tariff[id], len(ran), k)
+		}
+		first, last := ran[0].At, ran[0].At
+		for _, r := range ran {
+			if generation(r.Wait) != k {
+				t.Errorf("job %s has trips of %v and %v", id, ran[0].Wait, r.Wait)
+			}
+			first, last = time.Unix(0, min(first.UnixNano(), r.At.UnixNano())), time.Unix(0, max(last.UnixNano(), r.At.UnixNano()))
+		}
+		if tariff[id] == "order" && last.Sub(first) > 1700*time.Millisecond { // half a second for a machine that is busy
+			t.Errorf("order %s ran again after %v", id, last.Sub(first))
+		}
+	}
+	if len(seen) != len(generations) || again < 50 {
+		t.Errorf("too little was tested: jobs by generation %v, %d ran again", seen, again)
+	}
+}
+
+// generation is the one that gave a trip this time; its node is told what is left of it by then.
+func generation(wait time.Duration) int {
+	for k, g := range generations {
+		if ms := int(wait.Milliseconds()); ms <= g.time && ms > g.time/2 {
+			return k
+		}
+	}
+	return -1
+}
+
+// All nodes of a route fail while clients ask again at once: further trips stay within the budget, which they are far
+// beyond without one.
+func TestOutageStaysInBudget(t *testing.T) {
+	const share, floor = 0.1, 5
+	outage := func(args ...string) (firsts, others int) {
+		nodes := []*standin.Node{standin.NewNode(t, "source"), standin.NewNode(t, "copy"), standin.NewNode(t, "copy")}
+		for _, n := range nodes {
+			n.Troubled(0, standin.Trouble{Part: 1, State: "XX000", Delay: time.Millisecond})
+		}
+		f := newFleet(t, nodes...)
+		f.Contract = strings.Replace(brisk, `"connectTimeoutUs":100000`, `"connectTimeoutUs":5000`, 1) // nodes come back soon
+		f.Args = args
+		f.Start(os.Args[0])
+		var clients sync.WaitGroup
+		for range 8 {
+			clients.Add(1)
+			go func() {
+				defer clients.Done()
+				c := f.Open("")
+				c.Answer()
+				for range 60 {
+					c.Ask(standin.View(1000))
+					c.Answer()
+				}
+			}()
+		}
+		clients.Wait()
+		ids := map[string]bool{}
+		for _, n := range nodes {
+			for _, r := range n.Ledger() {
+				if ids[r.ID] {
+					others++
+				}
+				ids[r.ID] = true
+			}
+		}
+		return len(ids), others
+	}
+	path := filepath.Join(t.TempDir(), "terms.json")
+	os.WriteFile(path, fmt.Appendf(nil, `{"version": 1, "routes": [{"name": "views", "match": {"tariff": "view"},
+ "terms": {"budget": {"share": %v, "over": "10m", "floor": %d}}}]}`, share, floor), 0o600)
+	firsts, others := outage("--terms", path)
+	if firsts < 20 || float64(others) > math.Max(floor, share*float64(firsts)) {
+		t.Errorf("%d further trips beside %d first ones", others, firsts)
+	}
+	if firsts, others := outage(); float64(others) <= 2*share*float64(firsts) {
+		t.Errorf("without a budget %d beside %d: nothing is tested", others, firsts)
+	}
+}
+
+// sedgestream runs the program, and gives what it says.
+func sedgestream(t *testing.T, args ...string) (code int, out, errs string) {
+	t.Helper()
+	cmd := exec.Command(os.Args[0], args...)
+	var o, e bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &o, &e
+	cmd.Env = append(os.Environ(), asRouter+"=1", "ROUTER_LISTEN=127.0.0.1:1")
+	cmd.Run()
+	return cmd.ProcessState.ExitCode(), o.String(), e.String()
+}
+
+func TestCommandLine(t *testing.T) {
+	f := newFleet(t, standin.NewNode(t, "source"))
+	f.Contract = brisk
+	f.Configure()
+	good, wrong, dir := f.Path, filepath.Join(t.TempDir(), "wrong.json"), t.TempDir()
+	text, _ := os.ReadFile(good)
+	os.WriteFile(wrong, []byte(strings.NewReplacer(`"seed":"8c1f`, `"sead":"8c1f`, `"sendCap":4`, `"sendCap":"four"`, `"pure"`, `"purr"`,
+		`"discovery":"127.0.0.1`, `"discovery":"10.0.0.1`).Replace(string(text))), 0o600)
+	write := func(name, text string) string {
+		os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600)
+		return filepath.Join(dir, name)
+	}
+	before := write("before.json", termsOf(0))
+	after := write("after.json", strings.Replace(termsOf(0), `{"name": "all"`, `{"name": "orders", "match": {"tariff": "order"}, "terms": {"trips": 2}},
+ {"name": "all"`, 1))
+	bad := write("bad.json", strings.Replace(termsOf(0), `"trips": 4`, `"copies": {"after": "20ms", "part": 0.1}`, 1))
+	for _, c := range []struct {
+		args      []string
+		code      int
+		out, errs string // that stand in what it says
+	}{
+		{[]string{"--help"}, 0, "terms explain", ""},
+		{[]string{"run", "--help"}, 0, "--terms", ""},
+		{[]string{"terms", "--help"}, 0, "explain", ""},
+		{[]string{"terms", "explain", "--help"}, 0, "Example:", ""},
+		{[]string{"--version"}, 0, "sedgestream", ""},
+		{[]string{"sreve"}, 2, "", "sreve"},
+		{[]string{"run", "--log-level", "loud"}, 2, "", "--log-level"},
+		{[]string{"terms"}, 2, "", "sedgestream --help"},
+		{[]string{"check", good}, 0, "a router would start by it", ""},
+		{[]string{"check", wrong}, 1, "", `wrong.json:1:`},
+		{[]string{"check", wrong}, 1, "", `nothing reads "sead"; is "seed" meant? (warning)`},
+		{[]string{"check", wrong}, 1, "", `must be one of 'pure'`},
+		{[]string{"check", wrong}, 1, "", `got string, want integer`},
+		{[]string{"check", wrong}, 1, "", `no loopback address with a port`},
+		{[]string{"check", "--json", wrong}, 1, `"line": 1`, ""},
+		{[]string{"check", filepath.Join(dir, "none")}, 1, "", "no such file"},
+		{[]string{"terms", "schema"}, 0, "json-schema.org/draft/2020-12", ""},
+		{[]string{"terms", "check", before, "--config", good}, 0, "1 routes keep", ""},
+		{[]string{"terms", "check", bad, "--config", good}, 1, "", "bad.json:1:"},
+		{[]string{"terms", "check", bad, "--config", good, "--json"}, 1, `"reason": "a second copy of a job of tariff once`, ""},
+		{[]string{"terms", "explain", after, "--config", good, "--tariff", "order", "--group", "2"}, 0, `"orders" is more specific: it names a tariff`, ""},
+		{[]string{"terms", "explain", after, "--config", good, "--tariff", "view", "--group", "2", "--json"}, 0, `"trips": 4`, ""},
+		{[]string{"terms", "explain", before, "--config", good, "--tariff", "once", "--group", "2"}, 0, "160ms   terminated: it may have run", ""},
+		{[]string{"terms", "explain", before, "--config", good, "--tariff", "sight", "--group", "2"}, 1, "", "there are view, order, once"},
+		{[]string{"terms", "diff", before, after, "--config", good}, 0, "tariff order  all           orders", ""},
+		{[]string{"terms", "diff", before, before, "--config", good}, 0, "no job is treated otherwise", ""},
+		{[]string{"completion", "bash"}, 0, "terms explain", ""},
+		{[]string{"completion", "fish"}, 0, "__sedgestream_at", ""},
+		{[]string{"completion", "tcsh"}, 2, "", "tcsh"},
+	} {
+		code, out, errs := sedgestream(t, c.args...)
+		if code != c.code || !strings.Contains(out, c.out) || !strings.Contains(errs, c.errs) {
+			t.Errorf("%q: exit %d, want %d;\n%s%s", c.args, code, c.code, out, errs)
+		}
+	}
+	if _, script, _ := sedgestream(t, "completion", "bash"); exec.Command("bash", "-n", "-c", script).Run() != nil {
+		t.Error("bash does not read its completion")
+	}
+	// A router does not start by wrong terms, and says why.
+	cmd := exec.Command(os.Args[0], "run", "--terms", bad)
+	cmd.Env = f.Configure()
+	if out, _ := cmd.CombinedOutput(); cmd.ProcessState.ExitCode() != 1 || !strings.Contains(string(out), "bad.json:1:") {
+		t.Errorf("%d: %s", cmd.ProcessState.ExitCode(), out)
+	}
+}
+
+// The file that stands in deploy/ keeps to the contract that it is for.
+func TestDeployedTerms(t *testing.T) {
+	code, out, errs := sedgestream(t, "terms", "check", "../../deploy/terms.json", "--config", "../../deploy/posting.example.json")
+	if code != 0 {
+		t.Error(out, errs)
+	}
+	if code, out, errs = sedgestream(t, "check", "../../deploy/posting.example.json"); code != 0 || strings.Contains(errs, "nothing reads") {
+		t.Error(out, errs)
+	}
+}
--- /dev/null
+++ b/internal/advise/advise.go
@@ -0,0 +1,210 @@
+// Package advise answers operators' questions about files before any router uses them: what is wrong with one, what
+// becomes of a job by its terms, and which jobs a change of terms would treat otherwise. It answers in tables for people
+// and in JSON for programs.
+package advise
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"sedgestream/balance"
+	"sedgestream/internal/decide/terms"
+	"sedgestream/internal/paper"
+	"sedgestream/internal/service"
+	"sedgestream/internal/termsfile"
+)
+
+// Wrong is the error of a file that was read and found wrong; all has been told by then.
+var Wrong = errors.New("the file is wrong")
+
+// Desk is where answers go: to people or as JSON to Out, faults and warnings to Err.
+type Desk struct {
+	Out, Err io.Writer
+	JSON     bool
+	Env      func(string) string
+}
+
+func (d *Desk) json(v any) error {
+	e := json.NewEncoder(d.Out)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+// faults tells what is wrong, if anything.
+func (d *Desk) faults(err error) error {
+	var fs paper.Faults
+	if !errors.As(err, &fs) {
+		return err
+	}
+	for _, f := range fs {
+		fmt.Fprintln(d.Err, f)
+	}
+	return Wrong
+}
+
+// Check reads the platform's file as a router would.
+func (d *Desk) Check(path string) error {
+	faults, unread, err := service.Check(path, d.Env)
+	if err != nil {
+		return err
+	}
+	if d.JSON {
+		if err := d.json(map[string]any{"faults": some(faults), "unread": some(unread)}); err != nil {
+			return err
+		}
+	}
+	for _, f := range unread {
+		fmt.Fprintf(d.Err, "%s (warning)\n", f)
+	}
+	if len(faults) > 0 {
+		return d.faults(faults)
+	}
+	if !d.JSON {
+		fmt.Fprintf(d.Out, "%s: a router would start by it; %d members are read by nothing\n", path, len(unread))
+	}
+	return nil
+}
+
+// some is never null in JSON.
+func some(fs paper.Faults) paper.Faults { return append(paper.Faults{}, fs...) }
+
+// ground is that of the platform's file.
+func (d *Desk) ground(posting string) (*terms.Ground, error) {
+	p, err := service.ReadPosting(func(key string) string {
+		if key == "ROUTER_CONFIG" {
+			return posting
+		}
+		if v := d.Env(key); v != "" || key == "ROUTER_NAME" {
+			return v
+		}
+		return "127.0.0.1:1" // where a router listens does not matter here
+	})
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w (sedgestream check tells all)", posting, err)
+	}
+	return p.Ground(), nil
+}
+
+// CheckTerms proves a file of terms.
+func (d *Desk) CheckTerms(path, posting string) error {
+	g, err := d.ground(posting)
+	if err != nil {
+		return err
+	}
+	b, err := termsfile.Load(path, g)
+	if d.JSON {
+		var fs paper.Faults
+		errors.As(err, &fs)
+		if err := d.json(map[string]any{"faults": some(fs)}); err != nil {
+			return err
+		}
+	}
+	if err != nil {
+		return d.faults(err)
+	}
+	if !d.JSON {
+		fmt.Fprintf(d.Out, "%s: %d routes keep to the contract and the rules\n", path, b.Len())
+	}
+	return nil
+}
+
+// Asked is a job that operators ask about.
+type Asked struct {
+	Tariff         string
+	Group          int64
+	Key            string
+	Session, Again bool
+	At             time.Time
+}
+
+// Explain tells what becomes of a job.
+func (d *Desk) Explain(path, posting string, a Asked) error {
+	g, err := d.ground(posting)
+	if err != nil {
+		return err
+	}
+	b, err := termsfile.Load(path, g)
+	if err != nil {
+		return d.faults(err)
+	}
+	j := terms.Job{Tariff: -1, Group: a.Group, Key: a.Key, Session: a.Session, Again: a.Again}
+	for i, name := range g.Tariffs {
+		if name == a.Tariff {
+			j.Tariff, j.Write = i, g.Contract.Tariffs[i].Need == balance.Write
+		}
+	}
+	if j.Tariff < 0 {
+		return fmt.Errorf("there is no tariff %q; there are %s", a.Tariff, strings.Join(g.Tariffs, ", "))
+	}
+	e := b.Explain(&j, a.At.UnixNano())
+	if d.JSON {
+		return d.json(e)
+	}
+	route := "no route; the contract alone holds"
+	if e.Route != "" {
+		route = fmt.Sprintf("route %q", e.Route)
+	}
+	if e.Season != "" {
+		route += fmt.Sprintf(", in season %q", e.Season)
+	}
+	fmt.Fprintf(d.Out, "It takes %s.\n\n", route)
+	w := tabwriter.NewWriter(d.Out, 0, 8, 2, ' ', 0)
+	if len(e.Others) > 0 {
+		fmt.Fprintln(w, "not taken\twhy")
+		for _, o := range e.Others {
+			fmt.Fprintf(w, "%s\t%s\n", o.Route, o.Why)
+		}
+		fmt.Fprintln(w)
+	}
+	fmt.Fprintln(w, "latest\tin the worst case")
+	for _, m := range e.Line {
+		fmt.Fprintf(w, "%s\t%s\n", time.Duration(m.Latest), m.What)
+	}
+	fmt.Fprintf(w, "\nmost load: %d trips, %s of nodes' time\n", e.Trips, time.Duration(e.Held))
+	return w.Flush()
+}
+
+// Diff tells which jobs the file after would treat otherwise than the one before.
+func (d *Desk) Diff(before, after, posting string) error {
+	g, err := d.ground(posting)
+	if err != nil {
+		return err
+	}
+	var books [2]*terms.Book
+	for i, path := range []string{before, after} {
+		if books[i], err = termsfile.Load(path, g); err != nil {
+			return d.faults(err)
+		}
+	}
+	changes := terms.Diff(books[0], books[1])
+	if d.JSON {
+		return d.json(append([]terms.Change{}, changes...))
+	}
+	if len(changes) == 0 {
+		fmt.Fprintln(d.Out, "no job is treated otherwise")
+		return nil
+	}
+	w := tabwriter.NewWriter(d.Out, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, "jobs\troute before\troute after\twhat differs")
+	for _, c := range changes {
+		for i, t := range c.Terms {
+			if i > 0 {
+				c.Jobs, c.Before, c.After = "", "", ""
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", c.Jobs, dash(c.Before), dash(c.After), t)
+		}
+	}
+	return w.Flush()
+}
+
+func dash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -6,12 +6,15 @@
 	"fmt"
 	"hash/crc32"
 	"sync"
+	"sync/atomic"
 	"time"
+	"unsafe"
 
 	"go.uber.org/zap"
 
 	"sedgestream/balance"
 	"sedgestream/internal/contract"
+	"sedgestream/internal/decide/terms"
 )
 
 // Task is how the module's orders for one job are carried out: one at a time, in the job's own task.
@@ -47,12 +50,26 @@
 // wordsKept bounds the words that wait for the network: the newest of all say what older ones did.
 const wordsKept = 16
 
+// Ask is what a job wants.
+type Ask struct {
+	Tariff, Group int
+	Session       uint64
+	Wait          int64 // for which its client waits yet
+	After         int64 // position that it must see, or 0
+
+	// What routes look at beside the tariff. The key's bytes don't change while the job is in hand.
+	GroupName    int64
+	Key          []byte
+	Write, Again bool
+}
+
 // Desk serves one router.
 type Desk struct {
 	log   *zap.Logger
 	start time.Time
 	unix  int64
 	nodes Nodes
+	book  atomic.Pointer[terms.Book] // of the jobs to come; nil: the contract alone holds
 
 	mu      sync.Mutex
 	router  *balance.Router
@@ -78,6 +95,7 @@
 	task   Task
 	serial uint64
 	legs   int
+	stay   terms.Stay
 	over   bool // the job has its final answer, or nobody waits for it
 	box    chan func()
 }
@@ -132,9 +150,42 @@
 	return g, ok
 }
 
-// Take brings a job in. Its client waits for the time given from now; after is the position that it must
-// see, or 0.
-func (d *Desk) Take(task Task, tariff, group int, session uint64, wait, after int64) *Ticket {
+// Terms has the jobs to come keep to a book, or to the contract alone if it is nil; those in hand keep to the terms that
+// they came with. What the book before has learnt goes on in routes of the same name.
+func (d *Desk) Terms(b *terms.Book) {
+	if b != nil {
+		b.Inherit(d.book.Load())
+	}
+	d.book.Store(b)
+}
+
+// Groups are the names of the groups that the list has named.
+func (d *Desk) Groups() map[int64]bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	names := make(map[int64]bool, len(d.groups))
+	for g := range d.groups {
+		names[g] = true
+	}
+	return names
+}
+
+// route is the job's, or nil.
+func (d *Desk) route(a *Ask) *terms.Route {
+	b := d.book.Load()
+	if b == nil {
+		return nil
+	}
+	j := terms.Job{Tariff: a.Tariff, Group: a.GroupName, Write: a.Write, Session: a.After > 0, Again: a.Again}
+	if len(a.Key) > 0 {
+		j.Key = unsafe.String(&a.Key[0], len(a.Key)) // read only, and only here
+	}
+	return b.Find(&j)
+}
+
+// Take brings a job in. Its client waits from now on.
+func (d *Desk) Take(task Task, a Ask) *Ticket {
+	route := d.route(&a)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.Now()
@@ -144,13 +195,17 @@
 	}
 	d.serials++
 	box := d.boxes.Get().(chan func())
-	d.seats[p] = seat{task: task, serial: d.serials, box: box}
+	d.seats[p] = seat{task: task, serial: d.serials, box: box, stay: terms.Stay{Wait: a.Wait}}
+	s := &d.seats[p]
+	if route != nil {
+		s.stay = route.Enter(now, a.Wait)
+	}
 	d.inHand++
 	wrote := int64(0)
-	if after > 0 {
-		wrote = max(1, now-after)
+	if a.After > 0 {
+		wrote = max(1, now-a.After)
 	}
-	d.router.Take(now, p, tariff, group, session, wait, wrote)
+	d.router.Take(now, p, a.Tariff, a.Group, a.Session, s.stay.Wait, wrote, &s.stay.Terms)
 	return &Ticket{d, p, d.serials, box}
 }
 
@@ -163,6 +218,7 @@
 	s := &d.seats[t.place]
 	serve = e == balance.Done && !s.over
 	s.over = s.over || serve
+	s.stay.Ended(e, took)
 	d.router.Ended(d.Now(), t.place, leg, e, s.over, took, note, rep)
 	return serve
 }
@@ -304,10 +360,15 @@
 func (d *Desk) Submit(p balance.Place, node int, until int64) {
 	s := &d.seats[p]
 	leg, send := s.legs, s.task.Send
-	s.legs++
+	if s.legs++; leg == 0 {
+		s.stay.Sent(d.Now())
+	}
 	d.put(p, func() { send(leg, node, until) })
 }
 
+// Grant implements balance.Outside.
+func (d *Desk) Grant(p balance.Place, copy bool) bool { return d.seats[p].stay.Grant(d.Now(), copy) }
+
 // Revoke implements balance.Outside.
 func (d *Desk) Revoke(p balance.Place, leg int) {
 	revoke := d.seats[p].task.Revoke
@@ -332,6 +393,7 @@
 // Vacate implements balance.Outside.
 func (d *Desk) Vacate(p balance.Place) {
 	d.put(p, nil)
+	d.seats[p].stay.Leave()
 	d.inHand--
 }
 
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -28,7 +28,7 @@
 	}
 	take := func(said *string) *Ticket {
 		return d.Take(Task{Send: func(leg, node int, until int64) { *said += "sent " },
-			Bounce: func(int64) { *said += "bounced " }, Terminate: func() { *said += "terminated " }}, 0, g, 0, 1e9, 0)
+			Bounce: func(int64) { *said += "bounced " }, Terminate: func() { *said += "terminated " }}, Ask{Group: g, Wait: 1e9})
 	}
 	var first, second string
 	a := take(&first)
@@ -79,7 +79,7 @@
 	d.List(true, []Row{row(0, balance.In)})
 	g, _ := d.Group(7)
 	sent := -1
-	job := d.Take(Task{Send: func(leg, node int, until int64) { sent = node }, Terminate: func() {}}, 0, g, 0, 1e9, 0)
+	job := d.Take(Task{Send: func(leg, node int, until int64) { sent = node }, Terminate: func() {}}, Ask{Group: g, Wait: 1e9})
 	(<-job.box)()
 	for i := range 1000 {
 		d.List(i%2 == 0, []Row{row(i+1, balance.In), row(i, balance.Gone)})
@@ -94,7 +94,7 @@
 		t.Errorf("%d names, %d numbers", len(d.ids), len(d.names))
 	}
 	var said string
-	(<-d.Take(Task{Send: func(leg, node int, until int64) { said = d.names[node] }}, 0, g, 0, 1e9, 0).box)()
+	(<-d.Take(Task{Send: func(leg, node int, until int64) { said = d.names[node] }}, Ask{Group: g, Wait: 1e9}).box)()
 	if said != "n1000" {
 		t.Errorf("a job went to %q", said)
 	}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -34,17 +34,9 @@
 	Send(node int, until int64, back func(End)) Trip
 }
 
-// Ask is what a job wants.
-type Ask struct {
-	Tariff, Group int
-	Session       uint64
-	Wait          int64 // for which its client waits yet
-	After         int64 // position that it must see, or 0
-}
-
 // Begin takes a job in. Its life is what follows here, from top to bottom: the module decides at the points
 // that are marked, and its orders are carried out one by one in the job's task, which is the ticket's Work.
-func Begin(d *desk.Desk, ask Ask, client Client, sender Sender) (ticket *desk.Ticket) {
+func Begin(d *desk.Desk, ask desk.Ask, client Client, sender Sender) (ticket *desk.Ticket) {
 	var task desk.Task
 	var trips []Trip
 
@@ -69,6 +61,6 @@
 	task.Terminate = client.Terminated
 
 	// The first choice is made while the job is taken in: a node, a wait, or the end.
-	ticket = d.Take(task, ask.Tariff, ask.Group, ask.Session, ask.Wait, ask.After)
+	ticket = d.Take(task, ask)
 	return ticket
 }
--- /dev/null
+++ b/internal/paper/schema.go
@@ -0,0 +1,167 @@
+package paper
+
+import (
+	"bytes"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+)
+
+// Schema is a published form of a file.
+type Schema struct {
+	schema  *jsonschema.Schema
+	english *message.Printer
+}
+
+// NewSchema makes a schema (draft 2020-12) ready. Beside the draft's formats it knows "loopback", an address with a port
+// on this machine. It panics where the text is no schema, as that is part of the program.
+func NewSchema(text []byte) *Schema {
+	v, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
+	if err != nil {
+		panic(err)
+	}
+	c := jsonschema.NewCompiler()
+	c.AssertFormat()
+	c.RegisterFormat(&jsonschema.Format{Name: "loopback", Validate: loopback})
+	if err := c.AddResource("mem:schema", v); err != nil {
+		panic(err)
+	}
+	return &Schema{c.MustCompile("mem:schema"), message.NewPrinter(language.English)}
+}
+
+func loopback(v any) error {
+	s, ok := v.(string)
+	if !ok {
+		return nil
+	}
+	if to, err := netip.ParseAddrPort(s); err != nil || !to.Addr().IsLoopback() {
+		return fmt.Errorf("no loopback address with a port")
+	}
+	return nil
+}
+
+// Check holds the sheet against the schema, and tells whether it keeps to it.
+func (s *Sheet) Check(schema *Schema) bool {
+	err, wrong := schema.schema.Validate(s.Value).(*jsonschema.ValidationError)
+	if !wrong {
+		return true
+	}
+	var notes []Note
+	schema.leaves(err, func(n Note) {
+		if !slices.ContainsFunc(s.faults, func(f Fault) bool { return f.At == n.At }) { // its value stands for nothing
+			notes = append(notes, n)
+		}
+	})
+	s.Add(notes)
+	return false
+}
+
+// leaves tells the errors that have no cause below them.
+func (s *Schema) leaves(e *jsonschema.ValidationError, tell func(Note)) {
+	if len(e.Causes) > 0 {
+		for _, c := range e.Causes {
+			s.leaves(c, tell)
+		}
+		return
+	}
+	var at strings.Builder
+	for _, part := range e.InstanceLocation {
+		at.WriteString("/" + Escape(part))
+	}
+	switch k := e.ErrorKind.(type) {
+	case *kind.AdditionalProperties:
+		for _, name := range k.Properties {
+			tell(Note{at.String() + "/" + Escape(name), fmt.Sprintf("there is no member %q here", name)})
+		}
+	case *kind.Required:
+		tell(Note{at.String(), "missing: " + strings.Join(k.Missing, ", ")})
+	case *kind.DependentRequired:
+		tell(Note{at.String(), fmt.Sprintf("%s wants %s beside it", k.Prop, strings.Join(k.Missing, ", "))})
+	case *kind.Pattern:
+		words := fmt.Sprintf("%q does not have the form %s", k.Got, k.Want)
+		if strings.Contains(k.Want, "ms|") {
+			words = fmt.Sprintf("%q is no time: want digits with a unit, such as \"250ms\"", k.Got)
+		}
+		tell(Note{at.String(), words})
+	default:
+		tell(Note{at.String(), e.ErrorKind.LocalizedString(s.english)})
+	}
+}
+
+// Unread are the members of the value that the schema does not name, where it lets others be: nothing reads them.
+// Schemas that refer elsewhere are not followed but to their own $defs.
+func (s *Sheet) Unread(schema *Schema) {
+	var notes []Note
+	unread(schema.schema, s.Value, "", &notes)
+	s.Add(notes)
+}
+
+func unread(c *jsonschema.Schema, v any, at string, notes *[]Note) {
+	for c != nil && c.Ref != nil {
+		c = c.Ref
+	}
+	if c == nil {
+		return
+	}
+	switch v := v.(type) {
+	case map[string]any:
+		for name, member := range v {
+			p, known := c.Properties[name]
+			if !known && len(c.Properties) > 0 {
+				*notes = append(*notes, Note{at + "/" + Escape(name), fmt.Sprintf("nothing reads %q%s", name, nearest(name, c.Properties))})
+			} else if known {
+				unread(p, member, at+"/"+Escape(name), notes)
+			}
+		}
+	case []any:
+		items, _ := c.Items.(*jsonschema.Schema)
+		if items == nil {
+			items = c.Items2020
+		}
+		for i, e := range v {
+			unread(items, e, fmt.Sprintf("%s/%d", at, i), notes)
+		}
+	}
+}
+
+// nearest is a known name that differs by a slip of the hand.
+func nearest(name string, known map[string]*jsonschema.Schema) string {
+	var names []string
+	for k := range known {
+		names = append(names, k)
+	}
+	slices.Sort(names)
+	for _, k := range names {
+		if slips(name, k) <= 2 {
+			return fmt.Sprintf("; is %q meant?", k)
+		}
+	}
+	return ""
+}
+
+// slips is how many letters have to be put in, left out or changed to make one word the other.
+func slips(a, b string) int {
+	row := make([]int, len(b)+1)
+	for k := range row {
+		row[k] = k
+	}
+	for i := range a {
+		last := row[0]
+		row[0] = i + 1
+		for k := range b {
+			cost := last
+			if a[i] != b[k] {
+				cost++
+			}
+			last = row[k+1]
+			row[k+1] = min(cost, row[k+1]+1, row[k]+1)
+		}
+	}
+	return row[len(b)]
+}
--- a/internal/pg/statement.go
+++ b/internal/pg/statement.go
@@ -19,7 +19,9 @@
 	Group   int64
 	After   int64 // position that the read must see, in Unix milliseconds; 0: none
 	Write   bool
-	Marked  bool // carries the mark by which repeats are discarded
+	Marked  bool   // carries the mark by which repeats are discarded
+	Again   bool   // its client says that it asks once more
+	Key     []byte // of the object
 
 	text       []byte
 	from, upTo int // where the time stands
@@ -49,6 +51,7 @@
 	if !ok {
 		return nil, errForm
 	}
+	s.Key = object
 	// The object's name is the session's. One that is no such number names a session all the same.
 	var err error
 	if s.Session, err = strconv.ParseUint(string(object), 16, 64); err != nil {
@@ -110,6 +113,8 @@
 			s.ID = string(value)
 		case "k":
 			s.Marked = len(value) > 0
+		case "r":
+			s.Again = string(value) == "1"
 		case "c":
 			if s.Tariff != "" {
 				return false
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -18,6 +18,7 @@
 	"sedgestream/internal/list"
 	"sedgestream/internal/peer"
 	"sedgestream/internal/ring"
+	"sedgestream/internal/termsfile"
 	"sedgestream/internal/trip"
 )
 
@@ -56,6 +57,7 @@
 type Service struct {
 	log     *zap.Logger
 	posting *Posting
+	terms   string // path of the file of terms, or ""
 	phase   Phase
 	reloads <-chan os.Signal
 	desk    *desk.Desk
@@ -67,9 +69,10 @@
 	tasks   sync.WaitGroup
 }
 
-// New is a service that has not started. Each word of reloads has it read its configuration again.
-func New(log *zap.Logger, reloads <-chan os.Signal) *Service {
-	return &Service{log: log, reloads: reloads, stop: make(chan struct{})}
+// New is a service that has not started. Each word of reloads has it read its configuration again, and the file of terms
+// if there is one.
+func New(log *zap.Logger, terms string, reloads <-chan os.Signal) *Service {
+	return &Service{log: log, terms: terms, reloads: reloads, stop: make(chan struct{})}
 }
 
 func (s *Service) enter(p Phase, fields ...zap.Field) {
@@ -89,8 +92,8 @@
 	}
 }
 
-// reload reads the configuration again. Only where discovery is can change while the router runs; jobs in hand notice
-// nothing. A file that is missing, torn or wrong changes nothing either.
+// reload reads the configuration again. Only where discovery is can change while the router runs, and the terms of the
+// jobs to come; jobs in hand notice nothing. A file that is missing, torn or wrong changes nothing either.
 func (s *Service) reload() {
 	was := s.phase
 	s.enter(Reloading)
@@ -101,9 +104,33 @@
 		s.posting.Discovery = p.Discovery
 		s.list.Move(p.Discovery)
 	}
+	if err := s.readTerms(s.desk.Groups()); err != nil {
+		s.log.Warn("the terms are wrong, those before stand", zap.Error(err))
+	}
 	s.enter(was, zap.String("discovery", s.posting.Discovery))
 }
 
+// readTerms has the jobs to come keep to the file of terms, if there is one and nothing is wrong with it. Groups that the
+// list has named since the start count beside those that were known then.
+func (s *Service) readTerms(groups map[int64]bool) error {
+	if s.terms == "" {
+		return nil
+	}
+	begun, g := time.Now(), s.posting.Ground()
+	for name := range groups {
+		if g.Groups != nil {
+			g.Groups[name] = true
+		}
+	}
+	book, err := termsfile.Load(s.terms, g)
+	if err != nil {
+		return err
+	}
+	s.desk.Terms(book)
+	s.log.Info("terms", zap.String("file", s.terms), zap.Int("routes", book.Len()), zap.Duration("took", time.Since(begun)))
+	return nil
+}
+
 // Run serves until one of the stops has come and all that was taken has been answered.
 func (s *Service) Run(stops <-chan os.Signal) error {
 	s.enter(Starting)
@@ -141,6 +168,9 @@
 	s.nodes = trip.New(&terms, trip.Limits{Connections: shared - clients, Budget: ring.NewBudget(values)}, s.log)
 	s.desk = desk.Open(&terms, p.Seed, s.nodes, s.log)
 	s.nodes.Desk = s.desk
+	if err = s.readTerms(nil); err != nil {
+		return fmt.Errorf("the terms are wrong:\n%w", err)
+	}
 	s.list = list.New(p.Discovery, p.Known, time.Duration(terms.ConnectTimeout), s.desk, s.log)
 	if terms.RoutersTalk && p.PeerListen != "" {
 		if s.peers, err = peer.Listen(p.PeerListen, p.Peers, p.PeersAll, terms.Me, s.desk, s.log); err != nil {
--- /dev/null
+++ b/internal/standin/client.go
@@ -0,0 +1,95 @@
+package standin
+
+import (
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// Client is a connection to the router.
+type Client struct {
+	Sock net.Conn
+	*pgproto3.Frontend
+	t Test
+}
+
+// NewClient speaks over a connection to the router.
+func NewClient(t Test, sock net.Conn) *Client {
+	return &Client{sock, pgproto3.NewFrontend(sock, sock), t}
+}
+
+// Dial connects and says nothing yet.
+func (f *Fleet) Dial() *Client {
+	f.t.Helper()
+	sock, err := net.Dial("tcp", f.Address)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { sock.Close() })
+	sock.SetDeadline(time.Now().Add(Patience))
+	return NewClient(f.t, sock)
+}
+
+// Open begins a connection with a query directly behind the startup message.
+func (f *Fleet) Open(query string) *Client {
+	c := f.Dial()
+	c.Send(&pgproto3.StartupMessage{ProtocolVersion: 196608, Parameters: map[string]string{"user": "worker", "database": "catalog"}})
+	c.Ask(query)
+	if r := c.Answer(); r != "" {
+		f.t.Fatal("startup was answered by ", r)
+	}
+	return c
+}
+
+// Ask sends a query.
+func (c *Client) Ask(query string) {
+	c.Send(&pgproto3.Query{String: query})
+	if err := c.Flush(); err != nil {
+		c.t.Error(err)
+	}
+}
+
+// Answer is what comes up to ReadyForQuery: the value, or the state of an error.
+func (c *Client) Answer() (said string) {
+	c.t.Helper()
+	for {
+		m, err := c.Receive()
+		if err != nil {
+			return said + err.Error()
+		}
+		switch m := m.(type) {
+		case *pgproto3.DataRow:
+			said += string(m.Values[0])
+		case *pgproto3.ErrorResponse:
+			said += m.Code
+		case *pgproto3.EmptyQueryResponse:
+			said += "empty"
+		case *pgproto3.ReadyForQuery:
+			return said
+		}
+	}
+}
+
+// Expect fails the test unless the answer is this.
+func (c *Client) Expect(answer string) {
+	c.t.Helper()
+	if got := c.Answer(); got != answer {
+		c.t.Fatal(fmt.Sprintf("answered %q, want %q", got, answer))
+	}
+}
+
+var lastID atomic.Int64 // each job has a new one
+
+// View is a read whose client waits for so many milliseconds.
+func View(d int) string {
+	return fmt.Sprintf(`SELECT body FROM objects WHERE oid = '7f3a9c21e0b4d655' /* id=%016x,c=view,d=%d,cluster=2 */`, lastID.Add(1), d)
+}
+
+// Change is a write of a tariff.
+func Change(tariff string, d int) string {
+	return fmt.Sprintf(`INSERT INTO objects (oid, body) VALUES ('7f3a9c21e0b4d655', '\x9f03') RETURNING body /* id=%016x,c=%s,d=%d,k=5c0f,cluster=2 */`,
+		lastID.Add(1), tariff, d)
+}
--- /dev/null
+++ b/internal/standin/fleet.go
@@ -0,0 +1,191 @@
+package standin
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Fleet is what a router is started among: nodes, discovery, and another router.
+type Fleet struct {
+	Nodes    []*Node
+	Contract string // the settings, as JSON
+	Limits   string
+	Args     []string      // of the program
+	Env      []string      // beside the usual one
+	Watches  chan string   // where each watch begins
+	Changes  chan string   // lines for the watch that stands
+	Cut      chan struct{} // ends it
+	List     *http.Server
+	Peer     *net.UDPConn
+	Path     string // of the configuration
+	Address  string // of the router
+	Cmd      *exec.Cmd
+	Exit     chan error
+
+	t   Test
+	mu  sync.Mutex
+	log strings.Builder
+}
+
+// Contract is a small one with a tariff of each kind of repeat: view, order, once.
+const Contract = `{"me":0,"balancers":2,"tickUs":5000,"discovery":"push",
+"classes":[{"name":"view","aimUs":80000,"deadlineUs":30000000,"repeat":"pure","worth":1.0},
+{"name":"order","aimUs":80000,"deadlineUs":30000000,"repeat":"token","group":"cell","windowUs":30000000,"worth":3.0},
+{"name":"once","aimUs":80000,"deadlineUs":30000000,"repeat":"side_effect","worth":3.0}],
+"limits":{"sendCap":3,"secondCopies":false,"probes":true,"peers":true,"connectTimeoutUs":5000000,"keepaliveUs":30000000},
+"rules":{"askEveryUs":1000000,"coldUs":14000000,"drainGraceUs":500000,"fallMultiple":2.0,"fallUs":3000000,"startCapacity":0.15},
+"specifics":{"consistency":["eventual","mutate","mutate"],"reportX0":"position","reportX1":"role","serverChecks":"await",
+"tokenMode":"brought"}}`
+
+// NewFleet is one without a router yet.
+func NewFleet(t Test, nodes ...*Node) *Fleet {
+	f := &Fleet{t: t, Nodes: nodes, Contract: Contract, Limits: `{"cores":1,"memory_mb":192,"sockets":1024}`,
+		Watches: make(chan string, 100), Changes: make(chan string), Cut: make(chan struct{}), Exit: make(chan error, 1)}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.List = &http.Server{Addr: l.Addr().String(), Handler: http.HandlerFunc(f.discovery)}
+	go f.List.Serve(l)
+	t.Cleanup(func() { f.List.Close() })
+	if f.Peer, err = net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)}); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { f.Peer.Close() })
+	return f
+}
+
+func (f *Fleet) discovery(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/discovery/hosts" {
+		f.t.Errorf("discovery was asked for %s", r.URL)
+	}
+	if r.FormValue("stream") != "1" {
+		f.Watches <- "whole"
+		fmt.Fprintf(w, `{"version":2,"full":true,"servers":[%s]}`, f.Entries())
+		return
+	}
+	w.WriteHeader(200)
+	w.(http.Flusher).Flush()
+	f.Watches <- r.FormValue("index")
+	for {
+		select {
+		case line := <-f.Changes:
+			for i := range line { // cut at every place
+				io.WriteString(w, line[i:i+1])
+				w.(http.Flusher).Flush()
+			}
+		case <-f.Cut:
+			return
+		case <-time.After(time.Second): // nothing has changed
+			io.WriteString(w, "\n")
+			w.(http.Flusher).Flush()
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// Entries are the list's, up where no other state is given.
+func (f *Fleet) Entries(states ...string) string {
+	var s []string
+	for i, n := range f.Nodes {
+		state := "up"
+		if i < len(states) {
+			state = states[i]
+		}
+		s = append(s, fmt.Sprintf(`{"id":"s-%d","addr":%q,"zone":"z","kind":"k","cell":2,"state":%q,"weight":1,"started_ms":0}`,
+			i, n.Listener.Addr(), state))
+	}
+	return strings.Join(s, ",")
+}
+
+// Configure writes the configuration, and gives the environment that names it.
+func (f *Fleet) Configure() []string {
+	var settings any
+	if err := json.Unmarshal([]byte(f.Contract), &settings); err != nil {
+		f.t.Fatal(err)
+	}
+	s, _ := json.Marshal(settings)
+	text := fmt.Sprintf(`{"name":"n0","discovery":%q,"seed":"8c1f30d27a5be964","limits":%s,
+"peer_listen":"127.0.0.1:0","peers":["127.0.0.1:9",%q],"peers_all":%q,
+"known":{"version":7,"full":true,"servers":[%s]},"settings":%s}`, f.List.Addr, f.Limits, f.Peer.LocalAddr(),
+		f.Peer.LocalAddr(), f.Entries(), s)
+	if f.Path == "" {
+		f.Path = filepath.Join(f.t.TempDir(), "config.json")
+	}
+	if err := os.WriteFile(f.Path, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	// Where the file lacks a value the environment has it.
+	return append(append(os.Environ(), "ROUTER_CONFIG="+f.Path, "ROUTER_LISTEN=127.0.0.1:0"), f.Env...)
+}
+
+// Start starts the program, which is a router by these arguments and that environment, and waits until it serves.
+func (f *Fleet) Start(program string) *Fleet {
+	f.t.Helper()
+	f.Cmd = exec.Command(program, f.Args...)
+	f.Cmd.Env = f.Configure()
+	out, _ := f.Cmd.StderrPipe()
+	if err := f.Cmd.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	serving := make(chan string, 1)
+	go func() {
+		for lines := bufio.NewScanner(out); lines.Scan(); {
+			f.mu.Lock()
+			fmt.Fprintln(&f.log, lines.Text())
+			f.mu.Unlock()
+			var line struct{ Msg, Listen string }
+			if json.Unmarshal(lines.Bytes(), &line) == nil && line.Msg == "serving" {
+				select {
+				case serving <- line.Listen:
+				default: // again, after a reload
+				}
+			}
+		}
+		f.Exit <- f.Cmd.Wait()
+	}()
+	f.t.Cleanup(func() {
+		f.Cmd.Process.Kill()
+		if log := f.Lines(); f.t.Failed() || strings.Contains(log, "panic") || strings.Contains(log, "DATA RACE") {
+			f.t.Error("the router's log:\n", log)
+		}
+	})
+	select {
+	case f.Address = <-serving:
+	case err := <-f.Exit:
+		f.t.Fatal("the router ended: ", err, "\n", f.Lines())
+	case <-time.After(Patience):
+		f.t.Fatal("the router does not serve")
+	}
+	return f
+}
+
+// Lines is what the router has logged.
+func (f *Fleet) Lines() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.log.String()
+}
+
+// Logged tells whether these words stand in it.
+func (f *Fleet) Logged(words string) bool { return strings.Contains(f.Lines(), words) }
+
+// Descriptors is how many the router has open.
+func (f *Fleet) Descriptors() int {
+	d, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", f.Cmd.Process.Pid))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return len(d)
+}
--- /dev/null
+++ b/internal/standin/node.go
@@ -0,0 +1,226 @@
+// Package standin has stand-ins for what a router lives among: nodes, discovery, another router, and clients, as the public
+// protocols have them (PostgreSQL's version 3, HTTP/1.1). They fail as they are told to, and keep ledgers of what ran.
+package standin
+
+import (
+	"fmt"
+	"net"
+	"regexp"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// Test is what stand-ins want of a test or of whoever runs them.
+type Test interface {
+	Helper()
+	Fatal(args ...any)
+	Error(args ...any)
+	Errorf(format string, args ...any)
+	Cleanup(f func())
+	TempDir() string
+	Failed() bool
+}
+
+// Patience is how long a condition may take to come true before the test fails.
+const Patience = 20 * time.Second
+
+// Until waits for a condition.
+func Until(t Test, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(Patience); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("waited in vain: ", what)
+		}
+	}
+}
+
+// Node is a stand-in for a database node. Greet and Job are set before it is used, or within Count.
+type Node struct {
+	Listener net.Listener
+	Role     string
+	Greet    func(net.Conn) bool                       // false: the connection ends before it is up
+	Job      func(*pgproto3.Backend, net.Conn, string) // answers a statement; the usual one if nil
+
+	t        Test
+	mu       sync.Mutex
+	jobs     []string
+	ledger   []Ran
+	Probes   int // under Count
+	Sessions int // under Count
+}
+
+// Ran is one statement that came to a node.
+type Ran struct {
+	ID   string
+	Wait time.Duration // that its trip was given
+	At   time.Time
+}
+
+// NewNode is a node that listens; its role is "source" or "copy".
+func NewNode(t Test, role string) *Node {
+	n := &Node{t: t, Role: role}
+	var err error
+	if n.Listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { n.Listener.Close() })
+	go func() {
+		for {
+			c, err := n.Listener.Accept()
+			if err != nil {
+				return
+			}
+			go n.serve(c)
+		}
+	}()
+	return n
+}
+
+// Pair is a primary and a replica.
+func Pair(t Test) (primary, replica *Node) { return NewNode(t, "source"), NewNode(t, "copy") }
+
+var comment = regexp.MustCompile(`id=([^,]*),.*\bd=(\d+)`)
+
+func (n *Node) serve(c net.Conn) {
+	defer c.Close()
+	b := pgproto3.NewBackend(c, c)
+	if _, err := b.ReceiveStartupMessage(); err != nil || n.Greet != nil && !n.Greet(c) {
+		return
+	}
+	b.Send(&pgproto3.AuthenticationOk{})
+	b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	b.Flush()
+	n.Count(func() { n.Sessions++ })
+	for {
+		m, err := b.Receive()
+		if err != nil {
+			return
+		}
+		q, ok := m.(*pgproto3.Query)
+		if !ok {
+			n.t.Errorf("a node got %T", m)
+			return
+		}
+		if q.String == "SHOW vitals" {
+			n.Count(func() { n.Probes++ })
+			primary := map[string]int{"source": 1}[n.Role]
+			n.Row(b, fmt.Sprintf("x0=%.3f,x1=%d,load_share=0.1", float64(time.Now().UnixMilli())/1e3, primary))
+			continue
+		}
+		job := n.Job
+		n.Count(func() {
+			n.jobs = append(n.jobs, q.String)
+			if p := comment.FindStringSubmatch(q.String); p != nil {
+				ms, _ := strconv.Atoi(p[2])
+				n.ledger = append(n.ledger, Ran{p[1], time.Duration(ms) * time.Millisecond, time.Now()})
+			}
+			job = n.Job
+		})
+		if job != nil {
+			job(b, c, q.String)
+		} else {
+			n.Row(b, "from "+n.Role)
+		}
+	}
+}
+
+// Count does something under the node's lock.
+func (n *Node) Count(f func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	f()
+}
+
+// Got are the statements that have come, in their order.
+func (n *Node) Got() (jobs []string) {
+	n.Count(func() { jobs = append(jobs, n.jobs...) })
+	return jobs
+}
+
+// Ledger says what has come, in its order.
+func (n *Node) Ledger() (ran []Ran) {
+	n.Count(func() { ran = append(ran, n.ledger...) })
+	return ran
+}
+
+// Row answers a statement by a value.
+func (n *Node) Row(b *pgproto3.Backend, value string) {
+	b.Send(&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{Name: []byte("body"), DataTypeOID: 17, Format: 1}}})
+	b.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(value)}})
+	b.Send(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")})
+	n.ready(b)
+}
+
+func (n *Node) ready(b *pgproto3.Backend) {
+	b.Send(&pgproto3.ParameterStatus{Name: "rank", Value: n.Role})
+	b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	b.Flush()
+}
+
+// Refuse answers by an error of that state.
+func (n *Node) Refuse(state string) func(*pgproto3.Backend, net.Conn, string) {
+	return func(b *pgproto3.Backend, _ net.Conn, _ string) {
+		b.Send(&pgproto3.ErrorResponse{Severity: "ERROR", Code: state, Message: "no"})
+		n.ready(b)
+	}
+}
+
+// HangUp ends the connection instead of answering.
+func HangUp(_ *pgproto3.Backend, c net.Conn, _ string) { c.Close() }
+
+// Trouble is how a node treats a part of its statements. Which ones it is goes by their ids, so that two runs with the
+// same ids have the same troubles.
+type Trouble struct {
+	Part  float64       // of the statements, from where the trouble before it ended
+	State string        // an error of that state
+	Close bool          // the connection ends
+	Delay time.Duration // before that, or before an answer; below 0: no answer at all
+}
+
+// Troubled has a node treat its statements so; what is left over is answered.
+func (n *Node) Troubled(usual time.Duration, troubles ...Trouble) *Node {
+	n.Count(func() {
+		n.Job = func(b *pgproto3.Backend, c net.Conn, q string) {
+			at := float64(lot(q)) / (1 << 32)
+			for _, t := range troubles {
+				if at -= t.Part; at >= 0 {
+					continue
+				}
+				if t.Delay < 0 {
+					c.Read(make([]byte, 1)) // until the router gives up
+					c.Close()
+					return
+				}
+				time.Sleep(t.Delay)
+				switch {
+				case t.Close:
+					c.Close()
+				case t.State != "":
+					n.Refuse(t.State)(b, c, q)
+				default:
+					n.Row(b, "late")
+				}
+				return
+			}
+			time.Sleep(usual)
+			n.Row(b, "from "+n.Role)
+		}
+	})
+	return n
+}
+
+// lot is a statement's, from its id.
+func lot(q string) uint32 {
+	h := uint32(2166136261)
+	if p := comment.FindStringSubmatch(q); p != nil {
+		for i := range p[1] {
+			h = (h ^ uint32(p[1][i])) * 16777619
+		}
+	}
+	h ^= h >> 15
+	h *= 2246822519
+	return h ^ h>>13
+}
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -78,7 +78,7 @@
 	}
 	h.ids[p], h.places[id] = id, p
 	h.router.Take(h.now, p, t, contract.Index(h.groups, field.Whole(e, "setNo", false)), session, field.Whole(e, "budgetUs", true)*1000,
-		int64(math.Floor(field.Number(e, "wroteMsAgo", 0)*1e6)))
+		int64(math.Floor(field.Number(e, "wroteMsAgo", 0)*1e6)), &balance.Terms{})
 }
 
 func (h *host) finished(e *fastjson.Value) {
@@ -199,6 +199,9 @@
 	h.say(`{"op":"REVOKE","job":`).num(h.ids[p]).say(`,"leg":`).num(int64(leg)).end()
 }
 
+// Grant implements balance.Outside; no job of the simulator has terms that count.
+func (h *host) Grant(balance.Place, bool) bool { return true }
+
 // Release implements balance.Outside.
 func (h *host) Release(node int) { h.say(`{"op":"RELEASE","node":`).quote(h.names[node]).end() }
 
