Forwarders and planners: leases that move shares about, drains that reach all, who plans what

Need: many forwarders that each see a hundredth of the traffic; a drain, a broken node and a cold node's budget concern all of them together, and planners restart, are paused, lose words and disagree.

Off without forward.

Not built: room shares, the primary's epochs, exploration and measurement at 300 forwarders.

--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,15 @@
 	go test -run '^$$' -fuzz FuzzDiscovery -fuzztime $${FUZZ:-30s} ./internal/list
 	go test -run '^$$' -fuzz FuzzParse -fuzztime $${FUZZ:-30s} ./internal/termsfile
 
+# What terms of routes cost and bring, beside the last program without them: some five minutes, with the machine to itself.
+BEFORE_TERMS = fb7de3c
+measure-terms: build
+	rm -rf bin/before && git worktree prune && git worktree add -f --detach bin/before $(BEFORE_TERMS)
+	cd bin/before && go build -o ../sedgestream-before ./cmd/sedgestream
+	git worktree remove --force bin/before
+	go run ./internal/lab/routeterms -before bin/sedgestream-before
+	go test -run '^$$' -bench . ./internal/decide/terms
+
 # One router by the configuration that ROUTER_CONFIG names; see README.md.
 run: build
 	exec bin/sedgestream
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -287,7 +287,7 @@
 
 // trusted tells whether a node is not set aside. After failures it proves itself by one trip at a time.
 func (m *node) trusted(now int64) bool {
-	return now >= m.aside && (m.failures < distrust || m.held == 0)
+	return now >= max(m.aside, m.shunned) && (m.failures < distrust || m.held == 0)
 }
 
 // primary is the member whose latest evidence says so, else the one listed with nothing against it, or -1.
@@ -368,10 +368,17 @@
 // own report of waiting jobs closes it. Guards the cold rule for replicas and a young primary; it harms
 // where traffic has just jumped.
 func (r *Router) bears(m *node, j *job, now int64) bool {
-	w := r.warmth(m, now)
+	w, part := r.warmth(m, now), 1.0
 	if w >= 1 || m.queue >= 1 {
 		return w >= 1
 	}
+	usual := r.tariffs[j.tariff].usual
+	if now < m.lentUntil {
+		r.decay(m, now)
+		return m.work+usual <= m.lent
+	} else if now < m.keptUntil {
+		part = m.kept
+	}
 	// A router with less than a job in the span goes by lot instead: young nodes get so many of its jobs
 	// that one of them bears them even as the last of all that its group had, and clients ask again.
 	if r.sparse() {
@@ -379,10 +386,47 @@
 		if m.role != Primary || j.fallback {
 			share = max(1, r.groups[m.group].most-1)
 		}
-		return j.lot*share < spare*r.perSpan*w
+		return j.lot*share < spare*r.perSpan*w*part
 	}
 	r.decay(m, now)
-	return m.work+r.tariffs[j.tariff].usual <= w*r.perSpan*r.borne*m.weight
+	return m.work+usual <= part*r.ownShare(m, now)
+}
+
+// ownShare is how much work this router may send a young node over the rule's span, if all others do as it does.
+func (r *Router) ownShare(m *node, now int64) float64 {
+	return r.warmth(m, now) * r.perSpan * r.borne * m.weight
+}
+
+// Share is that of a node, what this router could use of it, its part of what it sends the others, and the least that
+// any job takes. No share: it is not young.
+func (r *Router) Share(now int64, n int) (share, want, least float64) {
+	if m := &r.nodes[n]; m.group >= 0 && r.warmth(m, now) < 1 && r.open(m) {
+		share, want, least = r.ownShare(m, now), r.borne*m.weight, math.MaxFloat64
+		for i := range r.tariffs {
+			least = min(least, r.tariffs[i].usual)
+		}
+	}
+	return share, max(want, least), least
+}
+
+// Lend has a young node sent so much work at most over the rule's span, until then; after that and until kept a part of
+// the own share. It moves shares about among routers, so that all together send what they would alone.
+func (r *Router) Lend(n int, work, part float64, until, kept int64) {
+	m := &r.nodes[n]
+	m.lent, m.kept, m.lentUntil, m.keptUntil = work, part, until, kept
+}
+
+// Shun sets a replica aside until then, by what many routers have seen.
+func (r *Router) Shun(now int64, n int, until int64) {
+	if m := &r.nodes[n]; m.role != Primary {
+		m.shunned = until
+	}
+}
+
+// Seen tells what this router has seen of a node by itself: that it had to set it aside, or that it answered within the span.
+func (r *Router) Seen(now int64, n int, span int64) (failed, answered bool) {
+	m := &r.nodes[n]
+	return now < m.aside && m.failures >= distrust, m.served > 0 && now-m.served < span
 }
 
 func (r *Router) decay(m *node, now int64) {
--- a/balance/state.go
+++ b/balance/state.go
@@ -84,6 +84,9 @@
 	mark                        uint32
 	work                        float64 // sent; decays over the span of the cold rule
 	workAt                      int64
+	lent, kept                  float64 // work that it may be sent over the span, and the part of it without a lease
+	lentUntil, keptUntil        int64
+	shunned                     int64 // until when, by what others have seen
 }
 
 // room is how many trips a node can hold in good time.
--- a/cmd/sedgestream/main.go
+++ b/cmd/sedgestream/main.go
@@ -24,17 +24,29 @@
 type line struct {
 	Version kong.VersionFlag `help:"Tell the version and leave."`
 
-	Run   run   `cmd:"" default:"withargs" help:"Be a router (what sedgestream does without a word). ROUTER_CONFIG names the platform's file."`
-	Check check `cmd:"" help:"Read the platform's file as a router would, and tell all that is wrong with it."`
-	Terms struct {
-		Check   termsCheck   `cmd:"" help:"Prove a file of terms against the contract and the rules."`
-		Explain termsExplain `cmd:"" help:"Tell which route a job takes, why not the others, and its worst case."`
-		Diff    termsDiff    `cmd:"" help:"Tell which jobs another file of terms would treat otherwise."`
-		Schema  termsSchema  `cmd:"" help:"Print the JSON schema of files of terms."`
-	} `cmd:"" help:"Terms of routes: time-outs, trips, second copies, budgets."`
+	Run     run     `cmd:"" default:"withargs" help:"Be a router (what sedgestream does without a word). ROUTER_CONFIG names the platform's file."`
+	Forward forward `cmd:"" help:"Be a router that heeds planners."`
+	Plan    struct {
+		Run  planRun  `cmd:"" default:"withargs" help:"Be a planner (what plan does without a further word)."`
+		Show planShow `cmd:"" help:"Tell what a planner and its forwarders believe."`
+	} `cmd:"" help:"Planners: they carry no jobs, and tell and lend forwarders what one alone can't know."`
+	Check      check      `cmd:"" help:"Read the platform's file as a router would, and tell all that is wrong with it."`
+	Terms      termsWords `cmd:"" help:"Terms of routes: time-outs, trips, second copies, budgets."`
 	Completion completion `cmd:"" help:"Print a completion script for a shell."`
 }
 
+// termsWords are those behind terms.
+type termsWords struct {
+	Check   termsCheck   `cmd:"" help:"Prove a file of terms against the contract and the rules."`
+	Explain termsExplain `cmd:"" help:"Tell which route a job takes, why not the others, and its worst case."`
+	Diff    termsDiff    `cmd:"" help:"Tell which jobs another file of terms would treat otherwise."`
+	Schema  termsSchema  `cmd:"" help:"Print the JSON schema of files of terms."`
+}
+
+func (termsWords) Help() string {
+	return "Example:\n\n    sedgestream terms check deploy/terms.json --config config.json"
+}
+
 type run struct {
 	Terms    string `type:"path" placeholder:"FILE" env:"SEDGESTREAM_TERMS" help:"File of terms; read again on SIGHUP."`
 	LogLevel string `enum:"debug,info,warn,error" default:"info" env:"SEDGESTREAM_LOG_LEVEL" help:"Least level that is logged: ${enum}."`
@@ -44,7 +56,9 @@
 	return "Example:\n\n    ROUTER_CONFIG=config.json sedgestream run --terms deploy/terms.json"
 }
 
-func (r *run) Run() error {
+func (r *run) Run() error { return r.serve("") }
+
+func (r *run) serve(tier string) error {
 	log, err := logger(r.LogLevel)
 	if err != nil {
 		return err
@@ -54,9 +68,48 @@
 	stops, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(reloads, syscall.SIGHUP)
-	return service.New(log, r.Terms, reloads).Run(stops)
+	return service.New(log, service.Files{Terms: r.Terms, Tier: tier}, reloads).Run(stops)
+}
+
+type forward struct {
+	run
+	Tier string `required:"" type:"path" placeholder:"FILE" env:"SEDGESTREAM_TIER" help:"File that names the planners."`
+}
+
+func (forward) Help() string {
+	return "Example:\n\n    ROUTER_CONFIG=config.json sedgestream forward --tier deploy/tier.json"
+}
+func (f *forward) Run() error { return f.serve(f.Tier) }
+
+type planRun struct {
+	Tier     string `required:"" type:"path" placeholder:"FILE" env:"SEDGESTREAM_TIER" help:"File that names the planners."`
+	Name     string `required:"" help:"Which of them this is."`
+	LogLevel string `enum:"debug,info,warn,error" default:"info" env:"SEDGESTREAM_LOG_LEVEL" help:"Least level that is logged: ${enum}."`
 }
 
+func (planRun) Help() string {
+	return "Example:\n\n    sedgestream plan --tier deploy/tier.json --name p0"
+}
+func (p *planRun) Run() error {
+	log, err := logger(p.LogLevel)
+	if err != nil {
+		return err
+	}
+	defer log.Sync()
+	stops := make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	return service.Plan(log, p.Tier, p.Name, stops)
+}
+
+type planShow struct {
+	form
+	Tier string `required:"" type:"path" placeholder:"FILE" env:"SEDGESTREAM_TIER" help:"File that names the planners."`
+	Name string `help:"Which of them to ask; all if absent."`
+}
+
+func (planShow) Help() string  { return "Example:\n\n    sedgestream plan show --tier deploy/tier.json" }
+func (p *planShow) Run() error { return p.desk().ShowPlanners(p.Tier, p.Name) }
+
 // logger writes JSON lines, or readable ones to a terminal.
 func logger(level string) (*zap.Logger, error) {
 	c := zap.NewProductionConfig()
--- /dev/null
+++ b/internal/decide/plan/plan.go
@@ -0,0 +1,19 @@
+// Package plan decides what planners and forwarders owe each other: who may send how much to a node by whose leave and for
+// how long (leases), which planner answers for which group, whether a planner is alive, what the newest word on a node is,
+// and when a node that some call broken is to be left alone.
+//
+// It does no I/O and reads no clock: every call gets the caller's own steady time in nanoseconds, and never another
+// machine's. No two of its types know each other; whoever runs a planner or a forwarder puts them together. Nothing here is
+// safe for concurrent use.
+package plan
+
+// Life tells the runs of one program apart. Lives are only compared for being the same: clocks of machines jump, so a later
+// run may have a lower one.
+type Life uint64
+
+// Floor is the part of a pledged share, one in so many, that its owner may use whatever becomes of its lease. Planners
+// never lend it.
+const Floor = 4
+
+// floor is that part, and never more than the share.
+func floor(share int64) int64 { return share / Floor }
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -14,6 +14,7 @@
 
 	"sedgestream/balance"
 	"sedgestream/internal/contract"
+	"sedgestream/internal/decide/plan"
 	"sedgestream/internal/decide/terms"
 )
 
@@ -83,6 +84,8 @@
 	unused  []int // numbers of nodes that have left, for others
 	groups  map[int64]int
 	zones   map[string]int
+	board   *plan.Board    // what planners and the list say of nodes; nil without planners
+	rows    map[string]Row // as the list has them, while there is a board
 
 	// Orders that belong to no job. Each list is bounded: a node has at most one probe out.
 	probes, releases []int
@@ -255,13 +258,14 @@
 	return d.inHand
 }
 
-// List tells the module a list, or changes of it.
-func (d *Desk) List(whole bool, rows []Row) {
+// List tells the module a list, or changes of it, as of a version.
+func (d *Desk) List(version int64, whole bool, rows []Row) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.Now()
 	d.router.Listing(whole)
 	for _, w := range rows {
+		w = d.posted(version, w)
 		n, known := d.ids[w.ID]
 		if !known && w.Standing == balance.Gone {
 			continue
@@ -280,10 +284,32 @@
 			d.names[n] = ""
 			d.unused = append(d.unused, n)
 			d.nodes.Drop(n)
+			if d.board != nil {
+				d.board.Drop(name)
+				delete(d.rows, name)
+			}
 		}
 	}
 }
 
+// posted is the row by the newest word on its node: an old list's "up" does not revive one that a planner knows to drain.
+func (d *Desk) posted(version int64, w Row) Row {
+	if d.board == nil {
+		return w
+	}
+	d.board.Post(plan.Notice{Node: w.ID, Born: w.Started, Version: uint64(max(version, 0)), Standing: w.Standing})
+	if n, ok := d.board.Read(w.ID); ok && n.Born == w.Started {
+		w.Standing = n.Standing
+	}
+	if w.Address == "" {
+		w.Address = d.rows[w.ID].Address
+	}
+	if len(d.rows) < plan.MostNotices || d.rows[w.ID].ID != "" {
+		d.rows[w.ID] = w
+	}
+	return w
+}
+
 // number is the lowest number that has not named a node yet, or one that names none any more.
 func (d *Desk) number(id string) (n int) {
 	if k := len(d.unused); k > 0 {
--- /dev/null
+++ b/internal/forward/forward.go
@@ -0,0 +1,250 @@
+// Package forward has a router heed planners: it tells them what it sees, pledges its shares of young nodes and uses what it
+// is lent, as internal/decide/plan decides. The router goes on by itself whenever they are silent.
+package forward
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sedgestream/internal/decide/plan"
+	"sedgestream/internal/desk"
+	"sedgestream/internal/words"
+)
+
+// Post is what a forwarder is told of planners.
+type Post struct {
+	Name     string
+	Planners map[string]string // addresses by name
+	Term     time.Duration     // of leases
+	Period   time.Duration     // of reports
+}
+
+// Links are a router's connections to planners.
+type Links struct {
+	post  Post
+	desk  *desk.Desk
+	log   *zap.Logger
+	life  plan.Life
+	born  int64
+	stop  chan struct{}
+	tasks sync.WaitGroup
+
+	mu      sync.Mutex
+	holders map[string]*plan.Holder // by node
+	links   map[string]*link        // that are up, by planner
+}
+
+// link is a connection to a planner.
+type link struct {
+	*words.Conn
+	live  []string // planners that it believes in
+	heard int64
+}
+
+// New has the desk heed planners. It is called before the desk's first list.
+func New(p Post, d *desk.Desk, log *zap.Logger) *Links {
+	d.Planned()
+	return &Links{post: p, desk: d, log: log, life: plan.Life(rand.Uint64() | 1), born: d.Now(), stop: make(chan struct{}),
+		holders: map[string]*plan.Holder{}, links: map[string]*link{}}
+}
+
+// Serve goes on until Close.
+func (s *Links) Serve() {
+	for name, address := range s.post.Planners {
+		s.tasks.Add(1)
+		go func() {
+			defer s.tasks.Done()
+			s.keep(name, address)
+		}()
+	}
+	every := time.NewTicker(s.post.Period)
+	defer every.Stop()
+	for {
+		select {
+		case <-s.stop:
+			s.tasks.Wait()
+			return
+		case <-every.C:
+			s.report()
+		}
+	}
+}
+
+// Close ends all.
+func (s *Links) Close() {
+	close(s.stop)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.links {
+		l.Sock.Close()
+	}
+}
+
+// keep has a connection to a planner, and tries anew at random moments while there is none: so that routers that lose a
+// planner together don't come back together.
+func (s *Links) keep(name, address string) {
+	wait := s.post.Period
+	for {
+		begun := time.Now()
+		err := s.link(name, address)
+		if err != nil && !errors.Is(err, io.EOF) {
+			s.log.Info("no planner", zap.String("planner", name), zap.Error(err))
+		}
+		if time.Since(begun) > s.post.Term {
+			wait = s.post.Period
+		}
+		select {
+		case <-s.stop:
+			return
+		case <-time.After(wait/2 + rand.N(wait)):
+		}
+		wait = min(2*wait, 4*s.post.Term)
+	}
+}
+
+// link connects, greets, and hears the planner until the connection ends.
+func (s *Links) link(name, address string) error {
+	sock, err := net.DialTimeout("tcp", address, s.post.Term)
+	if err != nil {
+		return err
+	}
+	l := &link{Conn: words.On(sock), heard: s.desk.Now()}
+	defer sock.Close()
+	if err := l.Write(&words.Word{Hello: &words.Hello{Version: words.Version, Kind: words.Forwarder, Name: s.post.Name, Life: s.life}}, s.post.Term); err != nil {
+		return err
+	}
+	w, err := l.Read(s.post.Term)
+	if err != nil || w.Hello == nil {
+		return errors.Join(err, errors.New("no greeting"))
+	}
+	s.mu.Lock()
+	select {
+	case <-s.stop:
+		s.mu.Unlock()
+		return nil
+	default:
+	}
+	s.links[name] = l
+	s.mu.Unlock()
+	s.log.Info("planner", zap.String("planner", name))
+	defer func() {
+		s.mu.Lock()
+		delete(s.links, name)
+		s.mu.Unlock()
+	}()
+	for {
+		w, err := l.Read(4 * s.post.Term)
+		switch {
+		case err != nil:
+			l.Bye(err)
+			return err
+		case w.Bye != "":
+			return errors.New(w.Bye)
+		case w.Answer != nil:
+			s.answer(name, l, w.Answer)
+		}
+	}
+}
+
+// answer takes in a planner's word.
+func (s *Links) answer(name string, l *link, a *words.Answer) {
+	s.desk.Heed(a.Notices)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.desk.Now()
+	if l.heard = now; a.Live != nil {
+		l.live = a.Live
+	}
+	for _, n := range a.Says {
+		if h := s.holders[n.Node]; h != nil {
+			h.Heard(now, name, n.Say)
+			s.lend(n.Node, h)
+		}
+	}
+	for _, n := range a.Condemned { // until the next report or so; after that by new words only
+		s.desk.Shun(n, now+2*int64(s.post.Period))
+	}
+}
+
+// lend tells the module what the holder may use.
+func (s *Links) lend(node string, h *plan.Holder) {
+	lease, ends, kept := h.Stands()
+	s.desk.Lend(node, lease, 1.0/plan.Floor, ends, kept)
+}
+
+// report says to each planner what there is to say, and asks each for the young nodes that it answers for.
+func (s *Links) report() {
+	young, sights, notices := s.desk.Young(), s.desk.Sights(int64(s.post.Term)), s.desk.Notices()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.desk.Now()
+	r := words.Report{Notices: notices}
+	for _, v := range sights {
+		if v.Failed || v.Answered {
+			r.Saw = append(r.Saw, words.NodeSaw{Node: v.Node, Failed: v.Failed})
+		}
+		b := words.Belief{Node: v.Node, Standing: uint8(v.Standing), Use: -1, Aside: v.Failed}
+		if h := s.holders[v.Node]; h != nil {
+			b.Planner = h.Planner()
+			b.Use, _, _ = h.Stands()
+		}
+		r.Beliefs = append(r.Beliefs, b)
+	}
+	asks := map[string][]words.NodeAsk{}
+	reached := s.reached(now)
+	for _, y := range young {
+		h := s.holders[y.Node]
+		if h == nil {
+			if len(s.holders) >= plan.MostNotices {
+				continue
+			}
+			h = plan.NewHolder(s.life, int64(s.post.Term), s.born)
+			s.holders[y.Node] = h
+		}
+		if owner := plan.Owner(y.Group, reached); owner != "" && h.MayAsk(now, owner) && y.Share > 0 {
+			asks[owner] = append(asks[owner], words.NodeAsk{Node: y.Node, Ask: h.Ask(now, owner, y.Share, y.Want, y.Least)})
+		}
+		s.lend(y.Node, h)
+	}
+	for node, h := range s.holders { // of nodes that are young no more, once nothing binds
+		if _, ends, kept := h.Stands(); now > max(ends, kept) && !slices.ContainsFunc(young, func(y desk.Young) bool { return y.Node == node }) {
+			delete(s.holders, node)
+		}
+	}
+	for name, l := range s.links {
+		mine := r
+		mine.Asks = asks[name]
+		s.tasks.Add(1)
+		go func() { // each is written within a period or its connection ends, so these don't pile up
+			defer s.tasks.Done()
+			if l.Write(&words.Word{Report: &mine}, s.post.Period) != nil {
+				l.Sock.Close()
+			}
+		}()
+	}
+}
+
+// reached are the planners that answer this router and that others believe in, by name. One that has been silent for a term
+// is not asked: its word would come too late.
+func (s *Links) reached(now int64) (names []string) {
+	var newest *link
+	for _, l := range s.links {
+		if newest == nil || l.heard > newest.heard {
+			newest = l
+		}
+	}
+	for name, l := range s.links {
+		if now-l.heard < int64(s.post.Term) && (newest.live == nil || slices.Contains(newest.live, name)) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -94,7 +94,7 @@
 
 // New tells the list that the router had before it started.
 func New(address string, known List, connect time.Duration, d *desk.Desk, log *zap.Logger) *Lister {
-	d.List(true, known.Rows)
+	d.List(known.Version, true, known.Rows)
 	return &Lister{connect: connect, desk: d, log: log, at: &place{address: address, version: known.Version}}
 }
 
@@ -258,7 +258,7 @@
 		return
 	}
 	at.version, at.strange = list.Version, at.strange && !list.Whole
-	l.desk.List(list.Whole, list.Rows)
+	l.desk.List(list.Version, list.Whole, list.Rows)
 }
 
 // answer reads the head of an HTTP answer and gives its body.
--- /dev/null
+++ b/internal/planner/planner.go
@@ -0,0 +1,393 @@
+// Package planner is the program that carries no jobs: it hears forwarders and the other planners, and lends, tells and
+// condemns as internal/decide/plan decides.
+//
+// One lock holds all that is decided; each connection has a task that reads, and one that writes what is newest. Nothing
+// queues: a reader that is slow gets the newest state when it reads again.
+package planner
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sedgestream/internal/decide/plan"
+	"sedgestream/internal/words"
+)
+
+// Post is what a planner is told at its start.
+type Post struct {
+	Name    string
+	Listen  string
+	Peers   map[string]string // other planners' addresses, by name
+	Term    time.Duration     // of leases
+	Period  time.Duration     // of heartbeats
+	MostIn  int               // connections
+	Voices  time.Duration     // for which what forwarders saw counts
+	Removed time.Duration     // after which a node that left is let go of
+}
+
+// Planner is one.
+type Planner struct {
+	post     Post
+	log      *zap.Logger
+	listener net.Listener
+	start    time.Time
+	stop     chan struct{}
+	tasks    sync.WaitGroup
+
+	mu         sync.Mutex
+	life       plan.Life
+	members    *plan.Members
+	board      *plan.Board
+	changed    map[string]change // of the board, by node
+	changes    uint64
+	pools      map[string]*plan.Pool
+	jury       *plan.Jury
+	forwarders map[plan.Life]*forwarder
+	conns      map[*conn]struct{}
+}
+
+// change is when a notice last changed, by a count and by the clock.
+type change struct {
+	number uint64
+	at     int64
+}
+
+// forwarder is what one last said.
+type forwarder struct {
+	name    string
+	at      int64
+	beliefs []words.Belief
+}
+
+// conn is a connection with whoever asks.
+type conn struct {
+	*words.Conn
+	hello words.Hello
+	told  uint64        // changes of the board that it has been told
+	bell  chan struct{} // rung when there are more
+}
+
+// New listens. Serve has to follow.
+func New(p Post, log *zap.Logger) (*Planner, error) {
+	l, err := net.Listen("tcp", p.Listen)
+	if err != nil {
+		return nil, err
+	}
+	s := &Planner{post: p, log: log, listener: l, start: time.Now(), stop: make(chan struct{}), board: plan.NewBoard(),
+		changed: map[string]change{}, jury: plan.NewJury(int64(p.Voices)),
+		forwarders: map[plan.Life]*forwarder{}, conns: map[*conn]struct{}{}}
+	s.members = plan.NewMembers(p.Name, 1, int64(p.Period), s.now(), rand.IntN)
+	for name := range p.Peers {
+		s.members.Meet(s.now(), name)
+	}
+	s.begin()
+	return s, nil
+}
+
+// begin starts a life: what an earlier one lent is unknown from here on.
+func (s *Planner) begin() {
+	s.life, s.pools = plan.Life(rand.Uint64()|1), map[string]*plan.Pool{}
+}
+
+// now is the steady clock.
+func (s *Planner) now() int64 { return int64(time.Since(s.start)) + int64(time.Hour) }
+
+// Address is where it listens.
+func (s *Planner) Address() string { return s.listener.Addr().String() }
+
+// Serve goes on until Close.
+func (s *Planner) Serve() {
+	for name, address := range s.post.Peers {
+		s.task(func() { s.gossip(name, address) })
+	}
+	s.task(s.tick)
+	for {
+		sock, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			break
+		}
+		if err != nil {
+			s.log.Warn("accept", zap.Error(err))
+			time.Sleep(s.post.Period)
+			continue
+		}
+		s.mu.Lock()
+		full := len(s.conns) >= s.post.MostIn
+		s.mu.Unlock()
+		if full {
+			words.On(sock).Bye(errors.New("no connection is left"))
+			continue
+		}
+		s.task(func() { s.attend(sock) })
+	}
+	s.tasks.Wait()
+}
+
+func (s *Planner) task(f func()) {
+	s.tasks.Add(1)
+	go func() {
+		defer s.tasks.Done()
+		f()
+	}()
+}
+
+// Close ends all.
+func (s *Planner) Close() {
+	close(s.stop)
+	s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.Sock.Close()
+	}
+}
+
+// tick looks after members, and lets go of what is over.
+func (s *Planner) tick() {
+	every := time.NewTicker(s.post.Period)
+	defer every.Stop()
+	for {
+		select {
+		case <-s.stop:
+			return
+		case <-every.C:
+		}
+		s.mu.Lock()
+		now := s.now()
+		t := s.members.Tick(now)
+		if t.Paused {
+			s.begin()
+			s.log.Warn("this planner was away; it starts anew", zap.Uint64("incarnation", s.members.Incarnation()))
+		}
+		for _, r := range t.Rumors {
+			s.log.Info("planner", zap.String("name", r.Name), zap.Stringer("health", r.Health))
+		}
+		for node, p := range s.pools {
+			if p.Tidy(now); p.Idle() {
+				delete(s.pools, node)
+			}
+		}
+		for life, f := range s.forwarders {
+			if now-f.at > int64(s.post.Removed) {
+				delete(s.forwarders, life)
+			}
+		}
+		for node, c := range s.changed {
+			if n, _ := s.board.Read(node); n.Standing == 2 && now-c.at > int64(s.post.Removed) {
+				s.board.Drop(node)
+				delete(s.changed, node)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+// attend serves one connection.
+func (s *Planner) attend(sock net.Conn) {
+	c := &conn{Conn: words.On(sock), bell: make(chan struct{}, 1)}
+	w, err := c.Read(s.post.Term)
+	if err == nil && w.Hello == nil {
+		err = errors.New("hello comes first")
+	}
+	if err != nil {
+		if !errors.Is(err, io.EOF) {
+			s.log.Info("hung up", zap.Stringer("from", sock.RemoteAddr()), zap.Error(err))
+		}
+		c.Bye(err)
+		return
+	}
+	c.hello = *w.Hello
+	s.mu.Lock()
+	s.conns[c] = struct{}{}
+	hello := &words.Hello{Version: words.Version, Kind: words.Planner, Name: s.post.Name, Life: s.life}
+	s.mu.Unlock()
+	done := make(chan struct{})
+	defer func() {
+		close(done)
+		sock.Close()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}()
+	if err := c.Write(&words.Word{Hello: hello}, s.post.Term); err != nil {
+		return
+	}
+	if c.hello.Kind == words.Forwarder {
+		s.task(func() { s.push(c, done) })
+	}
+	for {
+		w, err := c.Read(4 * s.post.Term)
+		if err != nil {
+			if !errors.Is(err, io.EOF) {
+				s.log.Info("hung up", zap.String("on", c.hello.Name), zap.Error(err))
+				c.Bye(err)
+			}
+			return
+		}
+		if err := s.take(c, w); err != nil {
+			return
+		}
+	}
+}
+
+// push tells a forwarder what changes on the board, as soon as it does: drains don't wait for a report.
+func (s *Planner) push(c *conn, done chan struct{}) {
+	for {
+		select {
+		case <-done:
+			return
+		case <-c.bell:
+		}
+		s.mu.Lock()
+		a := &words.Answer{Notices: s.news(c)}
+		s.mu.Unlock()
+		if len(a.Notices) > 0 && c.Write(&words.Word{Answer: a}, s.post.Term) != nil {
+			c.Sock.Close()
+			return
+		}
+	}
+}
+
+// news are the notices that the connection has not been told yet, as far as one frame goes; the bell rings for more.
+func (s *Planner) news(c *conn) (ns []plan.Notice) {
+	type due struct {
+		number uint64
+		node   string
+	}
+	var dues []due
+	for node, at := range s.changed {
+		if at.number > c.told {
+			dues = append(dues, due{at.number, node})
+		}
+	}
+	slices.SortFunc(dues, func(a, b due) int { return int(int64(a.number) - int64(b.number)) })
+	for _, d := range dues {
+		if len(ns) == words.MostNodes/8 {
+			c.ring()
+			break
+		}
+		if n, ok := s.board.Read(d.node); ok {
+			ns = append(ns, n)
+		}
+		c.told = d.number
+	}
+	return ns
+}
+
+func (c *conn) ring() {
+	select {
+	case c.bell <- struct{}{}:
+	default:
+	}
+}
+
+// take takes in a word and answers it.
+func (s *Planner) take(c *conn, w *words.Word) error {
+	switch {
+	case w.Report != nil && c.hello.Kind == words.Forwarder:
+		return c.Write(&words.Word{Answer: s.report(c, w.Report)}, s.post.Term)
+	case w.Gossip != nil && c.hello.Kind == words.Planner:
+		return s.heard(c.hello.Name, w.Gossip, c.Conn)
+	case w.Show != nil:
+		s.mu.Lock()
+		shown := s.show()
+		s.mu.Unlock()
+		return c.Write(&words.Word{Show: shown}, s.post.Term)
+	case w.Bye != "":
+		return errors.New(w.Bye)
+	}
+	err := fmt.Errorf("a %s may not say this", c.hello.Kind)
+	c.Bye(err)
+	return err
+}
+
+// post takes in notices, and rings for all that have not heard.
+func (s *Planner) posted(ns []plan.Notice) {
+	news := false
+	for _, n := range ns {
+		was, known := s.board.Read(n.Node)
+		if s.board.Post(n); !known || was.Standing != n.Standing || was.Born != n.Born {
+			if now, ok := s.board.Read(n.Node); ok && (!known || now != was) {
+				s.changes++
+				s.changed[n.Node] = change{s.changes, s.now()}
+				if news = true; now.Standing > 0 {
+					s.log.Info("node", zap.String("node", n.Node), zap.Uint8("standing", uint8(now.Standing)), zap.Uint64("version", now.Version))
+				}
+			}
+		}
+	}
+	if news {
+		for c := range s.conns {
+			c.ring()
+		}
+	}
+}
+
+// report takes in what a forwarder says and answers its asks.
+func (s *Planner) report(c *conn, r *words.Report) *words.Answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	s.forwarders[c.hello.Life] = &forwarder{c.hello.Name, now, r.Beliefs}
+	s.posted(r.Notices)
+	for _, v := range r.Saw {
+		s.jury.Saw(now, v.Node, c.hello.Life, v.Failed)
+	}
+	a := &words.Answer{Notices: s.news(c), Live: s.members.Live()}
+	for _, ask := range r.Asks {
+		p := s.pools[ask.Node]
+		if p == nil {
+			if len(s.pools) >= words.MostNodes {
+				continue
+			}
+			p = plan.NewPool(s.life, int64(s.post.Term), now)
+			s.pools[ask.Node] = p
+		}
+		if say, ok := p.Asked(now, ask.Ask); ok {
+			a.Says = append(a.Says, words.NodeSay{Node: ask.Node, Say: say})
+		}
+	}
+	for node := range s.changed {
+		if s.jury.Condemned(now, node) {
+			a.Condemned = append(a.Condemned, node)
+		}
+	}
+	return a
+}
+
+// show is this planner's view.
+func (s *Planner) show() *words.Show {
+	now := s.now()
+	v := &words.Show{Planner: s.post.Name, Members: s.members.All()}
+	s.board.Each(func(n plan.Notice) {
+		node := words.Node{Notice: n, Condemned: s.jury.Condemned(now, n.Node)}
+		if p := s.pools[n.Node]; p != nil {
+			node.Holders, node.Pledged, node.Lent = p.Sums(now)
+		}
+		v.Nodes = append(v.Nodes, node)
+	})
+	slices.SortFunc(v.Nodes, func(a, b words.Node) int {
+		if a.Notice.Node < b.Notice.Node {
+			return -1
+		}
+		return 1
+	})
+	for _, f := range s.forwarders {
+		v.Forwarders = append(v.Forwarders, words.ForwarderBelief{Name: f.name, Ago: now - f.at, Beliefs: f.beliefs})
+	}
+	slices.SortFunc(v.Forwarders, func(a, b words.ForwarderBelief) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return v
+}
--- /dev/null
+++ b/internal/service/plan.go
@@ -0,0 +1,45 @@
+package service
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sedgestream/internal/planner"
+	"sedgestream/internal/tierfile"
+)
+
+// voicesTerms is for how many terms what forwarders saw of a node counts, and removedTerms after how many a node that has left
+// is let go of.
+const (
+	voicesTerms  = 1
+	removedTerms = 60
+)
+
+// Plan is a planner of a tier until one of the stops has come. What it has lent ends by itself.
+func Plan(log *zap.Logger, path, name string, stops <-chan os.Signal) error {
+	tier, err := tierfile.Load(path)
+	if err != nil {
+		return fmt.Errorf("the tier is wrong:\n%w", err)
+	}
+	listen, ours := tier.Planners[name]
+	if !ours {
+		return fmt.Errorf("%s names no planner %q", path, name)
+	}
+	delete(tier.Planners, name)
+	p, err := planner.New(planner.Post{Name: name, Listen: listen, Peers: tier.Planners, Term: tier.Term, Period: tier.Period,
+		MostIn: tier.Connections, Voices: voicesTerms * tier.Term, Removed: time.Duration(removedTerms) * tier.Term}, log)
+	if err != nil {
+		return err
+	}
+	log.Info("planning", zap.String("name", name), zap.String("listen", p.Address()), zap.Duration("term", tier.Term))
+	go func() {
+		sig := <-stops
+		log.Info("leaving", zap.Stringer("signal", sig))
+		p.Close()
+	}()
+	p.Serve()
+	return nil
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -14,11 +14,13 @@
 	"go.uber.org/zap"
 
 	"sedgestream/internal/desk"
+	"sedgestream/internal/forward"
 	"sedgestream/internal/intake"
 	"sedgestream/internal/list"
 	"sedgestream/internal/peer"
 	"sedgestream/internal/ring"
 	"sedgestream/internal/termsfile"
+	"sedgestream/internal/tierfile"
 	"sedgestream/internal/trip"
 )
 
@@ -57,22 +59,29 @@
 type Service struct {
 	log     *zap.Logger
 	posting *Posting
-	terms   string // path of the file of terms, or ""
+	files   Files
 	phase   Phase
 	reloads <-chan os.Signal
 	desk    *desk.Desk
 	nodes   *trip.Nodes
 	intake  *intake.Intake
 	list    *list.Lister
+	links   *forward.Links // to planners; nil without a tier
 	peers   *peer.Peers
 	stop    chan struct{}
 	tasks   sync.WaitGroup
 }
 
+// Files are the paths of files that operators own; "" where there is none.
+type Files struct {
+	Terms string
+	Tier  string
+}
+
 // New is a service that has not started. Each word of reloads has it read its configuration again, and the file of terms
 // if there is one.
-func New(log *zap.Logger, terms string, reloads <-chan os.Signal) *Service {
-	return &Service{log: log, terms: terms, reloads: reloads, stop: make(chan struct{})}
+func New(log *zap.Logger, files Files, reloads <-chan os.Signal) *Service {
+	return &Service{log: log, files: files, reloads: reloads, stop: make(chan struct{})}
 }
 
 func (s *Service) enter(p Phase, fields ...zap.Field) {
@@ -113,7 +122,7 @@
 // readTerms has the jobs to come keep to the file of terms, if there is one and nothing is wrong with it. Groups that the
 // list has named since the start count beside those that were known then.
 func (s *Service) readTerms(groups map[int64]bool) error {
-	if s.terms == "" {
+	if s.files.Terms == "" {
 		return nil
 	}
 	begun, g := time.Now(), s.posting.Ground()
@@ -122,12 +131,12 @@
 			g.Groups[name] = true
 		}
 	}
-	book, err := termsfile.Load(s.terms, g)
+	book, err := termsfile.Load(s.files.Terms, g)
 	if err != nil {
 		return err
 	}
 	s.desk.Terms(book)
-	s.log.Info("terms", zap.String("file", s.terms), zap.Int("routes", book.Len()), zap.Duration("took", time.Since(begun)))
+	s.log.Info("terms", zap.String("file", s.files.Terms), zap.Int("routes", book.Len()), zap.Duration("took", time.Since(begun)))
 	return nil
 }
 
@@ -168,10 +177,17 @@
 	s.nodes = trip.New(&terms, trip.Limits{Connections: shared - clients, Budget: ring.NewBudget(values)}, s.log)
 	s.desk = desk.Open(&terms, p.Seed, s.nodes, s.log)
 	s.nodes.Desk = s.desk
+	if s.files.Tier != "" {
+		tier, err := tierfile.Load(s.files.Tier)
+		if err != nil {
+			return fmt.Errorf("the tier is wrong:\n%w", err)
+		}
+		s.links = forward.New(forward.Post{Name: p.Name, Planners: tier.Planners, Term: tier.Term, Period: tier.Period}, s.desk, s.log)
+	}
+	s.list = list.New(p.Discovery, p.Known, time.Duration(terms.ConnectTimeout), s.desk, s.log)
 	if err = s.readTerms(nil); err != nil {
 		return fmt.Errorf("the terms are wrong:\n%w", err)
 	}
-	s.list = list.New(p.Discovery, p.Known, time.Duration(terms.ConnectTimeout), s.desk, s.log)
 	if terms.RoutersTalk && p.PeerListen != "" {
 		if s.peers, err = peer.Listen(p.PeerListen, p.Peers, p.PeersAll, terms.Me, s.desk, s.log); err != nil {
 			return fmt.Errorf("peer_listen: %w", err)
@@ -186,6 +202,9 @@
 		Askers: int(askersShare * float64(p.Descriptors)), Budget: ring.NewBudget(values)}, s.log)
 	s.task(s.carryOut)
 	s.task(s.intake.Serve)
+	if s.links != nil {
+		s.task(s.links.Serve)
+	}
 	return nil
 }
 
@@ -244,6 +263,9 @@
 	stay(s, answered)
 	close(s.stop)
 	s.list.Close()
+	if s.links != nil {
+		s.links.Close()
+	}
 	if s.peers != nil {
 		s.peers.Close()
 	}
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -13,12 +13,14 @@
 type Client struct {
 	Sock net.Conn
 	*pgproto3.Frontend
+	Detail string // of the last error
+
 	t Test
 }
 
 // NewClient speaks over a connection to the router.
 func NewClient(t Test, sock net.Conn) *Client {
-	return &Client{sock, pgproto3.NewFrontend(sock, sock), t}
+	return &Client{Sock: sock, Frontend: pgproto3.NewFrontend(sock, sock), t: t}
 }
 
 // Dial connects and says nothing yet.
@@ -44,6 +46,21 @@
 	return c
 }
 
+// Greet sends the startup message, and tells whether it was answered.
+func (c *Client) Greet() bool {
+	c.Send(&pgproto3.StartupMessage{ProtocolVersion: 196608, Parameters: map[string]string{"user": "worker", "database": "catalog"}})
+	return c.Flush() == nil && c.Answer() == ""
+}
+
+// Try asks and takes the answer; an error is that of the connection.
+func (c *Client) Try(query string) (said string, err error) {
+	c.Send(&pgproto3.Query{String: query})
+	if err := c.Flush(); err != nil {
+		return "", err
+	}
+	return c.answer()
+}
+
 // Ask sends a query.
 func (c *Client) Ask(query string) {
 	c.Send(&pgproto3.Query{String: query})
@@ -53,22 +70,30 @@
 }
 
 // Answer is what comes up to ReadyForQuery: the value, or the state of an error.
-func (c *Client) Answer() (said string) {
-	c.t.Helper()
+func (c *Client) Answer() string {
+	said, err := c.answer()
+	if err != nil {
+		return said + err.Error()
+	}
+	return said
+}
+
+func (c *Client) answer() (said string, err error) {
 	for {
 		m, err := c.Receive()
 		if err != nil {
-			return said + err.Error()
+			return said, err
 		}
 		switch m := m.(type) {
 		case *pgproto3.DataRow:
 			said += string(m.Values[0])
 		case *pgproto3.ErrorResponse:
 			said += m.Code
+			c.Detail = m.Detail
 		case *pgproto3.EmptyQueryResponse:
 			said += "empty"
 		case *pgproto3.ReadyForQuery:
-			return said
+			return said, nil
 		}
 	}
 }
--- /dev/null
+++ b/internal/tierfile/tierfile.go
@@ -0,0 +1,90 @@
+// Package tierfile reads the file that names a tier's planners, for forwarders and planners alike.
+package tierfile
+
+import (
+	_ "embed" // of the schema
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"sedgestream/internal/paper"
+)
+
+// Text is the schema as it is published.
+//
+//go:embed tier.schema.json
+var Text []byte
+
+var schema = sync.OnceValue(func() *paper.Schema { return paper.NewSchema(Text) })
+
+// Tier is what such a file says.
+type Tier struct {
+	Term, Period time.Duration
+	Connections  int
+	Planners     map[string]string // addresses by name
+}
+
+// What stands where the file says nothing: a term that outlasts a second's trouble, and so many reports within it that one
+// may be lost and the next be late.
+const (
+	usualTerm        = 2 * time.Second
+	periodsInTerm    = 8
+	usualConnections = 1024
+	shortestPeriod   = 10 * time.Millisecond
+	longestTerm      = time.Minute
+)
+
+// Load reads the file. An error is paper.Faults if the file could be read at all.
+func Load(path string) (*Tier, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	s := paper.Read(path, text)
+	if s.Value == nil {
+		return nil, s.Err()
+	}
+	s.Check(schema())
+	top, _ := s.Value.(map[string]any)
+	t := &Tier{Term: usualTerm, Connections: usualConnections, Planners: map[string]string{}}
+	var notes []paper.Note
+	span := func(key string, into *time.Duration) {
+		if text, ok := top[key].(string); ok {
+			if d, err := time.ParseDuration(text); err == nil {
+				*into = d
+			}
+		}
+	}
+	span("term", &t.Term)
+	t.Period = t.Term / periodsInTerm
+	span("period", &t.Period)
+	if t.Period < shortestPeriod {
+		notes = append(notes, paper.Note{At: "/period", Reason: fmt.Sprintf("%s is shorter than %s", t.Period, shortestPeriod)})
+	}
+	if t.Term < 4*t.Period || t.Term > longestTerm {
+		notes = append(notes, paper.Note{At: "/term", Reason: fmt.Sprintf("%s is not between four periods of %s and %s", t.Term, t.Period, longestTerm)})
+	}
+	if n, ok := top["connections"].(float64); ok {
+		t.Connections = int(n)
+	}
+	planners, _ := top["planners"].([]any)
+	for i, p := range planners {
+		m, _ := p.(map[string]any)
+		name, _ := m["name"].(string)
+		address, _ := m["address"].(string)
+		if _, twice := t.Planners[name]; twice {
+			notes = append(notes, paper.Note{At: fmt.Sprintf("/planners/%d/name", i), Reason: fmt.Sprintf("another planner is called %q too", name)})
+		}
+		if _, _, err := net.SplitHostPort(address); err != nil && address != "" {
+			notes = append(notes, paper.Note{At: fmt.Sprintf("/planners/%d/address", i), Reason: fmt.Sprintf("%q is no address with a port", address)})
+		}
+		t.Planners[name] = address
+	}
+	s.Add(notes)
+	if err := s.Err(); err != nil {
+		return nil, err
+	}
+	return t, nil
+}
