--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,9 @@
 	cd bin/before && go build -o ../sedgestream-before ./cmd/sedgestream
 	git worktree remove --force bin/before
 	go run ./internal/lab/routeterms -before bin/sedgestream-before
+	go run ./internal/lab/routeterms -before bin/sedgestream-before -only pair
 	go test -run '^$$' -bench . ./internal/decide/terms
+	go test -run '^$$' -bench Job -count 5 ./internal/desk
 
 # One router by the configuration that ROUTER_CONFIG names; see README.md.
 run: build
--- a/internal/decide/plan/plan_test.go
+++ b/internal/decide/plan/plan_test.go
@@ -216,6 +216,48 @@
 	}
 }
 
+// Half of the forwarders reach one planner, the other half the other, and each thinks that it answers for the node: both
+// lend, and all together use no more than their shares.
+func TestHalfReachEither(t *testing.T) {
+	w := newWorld(8, 40, 2)
+	for f := range w.wants {
+		w.wants[f] = int64(f/2%2) * 300
+	}
+	lent := [2]bool{}
+	for range 600 {
+		w.step(20*ms, func(f int) int { return f % 2 })
+		if used := w.used(); used > 40*share {
+			t.Fatalf("%d used of %d", used, 40*share)
+		}
+		for f, h := range w.holders {
+			lent[f%2] = lent[f%2] || h.Use(w.clock(f), share) > share
+		}
+	}
+	if lent != [2]bool{true, true} {
+		t.Errorf("lent by either: %v", lent)
+	}
+}
+
+// 200 forwarders that start within 100 ms use the floor for two terms, whatever they were lent before, and then what they
+// are lent; at no time more than their shares.
+func TestManyStartAtOnce(t *testing.T) {
+	w := newWorld(9, 200, 3)
+	begin := w.now
+	for f := range w.asks {
+		w.asks[f] = begin + w.chance.Int64N(100*ms)
+	}
+	for w.now < begin+6*w.term {
+		w.step(20*ms, func(f int) int { return 0 })
+		used := w.used()
+		if quiet := w.now < begin+pledged*w.term*(2*Drift-1)/(2*Drift); quiet && used != 200*floor(share) || used > 200*share {
+			t.Fatalf("%d used of %d after %d ms", used, 200*share, (w.now-begin)/ms)
+		}
+	}
+	if used := w.used(); used < 200*share*3/4 {
+		t.Errorf("%d used of %d in the end", used, 200*share)
+	}
+}
+
 // All planners gone for ten minutes: forwarders go on by their own shares after two terms, and back at once they lend again
 // within three.
 func TestPlannersGoneForLong(t *testing.T) {
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"sedgestream/balance"
+	"sedgestream/internal/decide/terms"
 )
 
 type nowhere struct{}
@@ -99,3 +100,29 @@
 		t.Errorf("a job went to %q", said)
 	}
 }
+
+// BenchmarkJob is what the desk and the module take for a job of one trip: without terms, and with a book of so many routes.
+func BenchmarkJob(b *testing.B) {
+	for _, routes := range []int{0, 1, 10_000} {
+		b.Run(fmt.Sprint(routes, " routes"), func(b *testing.B) {
+			c := &balance.Contract{Tick: 5e6, MaxTrips: 3, KeepAlive: 1e9, Tariffs: []balance.Tariff{{ContractTime: 1e9, Earnings: 1}}}
+			d := Open(c, 1, nowhere{}, zap.NewNop())
+			d.List(0, true, []Row{{ID: "a", Weight: 1, Group: 7, Primary: true}, {ID: "b", Weight: 1, Group: 7}})
+			if routes > 0 {
+				draft := &terms.Draft{Routes: []terms.DraftRoute{{Name: "all", Match: terms.Match{Tariff: -1, AnyGroup: true},
+					Ordinary: terms.Clause{Budget: 0.5, Window: 1e10}}}}
+				for i := range routes - 1 {
+					draft.Routes = append(draft.Routes, terms.DraftRoute{Name: fmt.Sprint(i), Match: terms.Match{Tariff: -1, AnyGroup: true, Key: fmt.Sprintf("k%05d", i)}})
+				}
+				d.Terms(terms.Compile(draft, &terms.Ground{Contract: c, Tariffs: []string{"view"}}))
+			}
+			key := []byte("k00777fa")
+			b.ReportAllocs()
+			for b.Loop() {
+				t := d.Take(Task{Send: func(leg, node int, until int64) {}, Bounce: func(int64) {}, Terminate: func() {}}, Ask{Wait: 1e9, GroupName: 7, Key: key})
+				t.Ended(0, balance.Done, 1e6, balance.Note{Role: balance.Replica}, balance.Report{})
+				t.Work()
+			}
+		})
+	}
+}
--- a/internal/lab/routeterms/main.go
+++ b/internal/lab/routeterms/main.go
@@ -25,7 +25,7 @@
 	program = flag.String("program", "bin/sedgestream", "the router")
 	before  = flag.String("before", "", "an earlier router to hold the ordinary path against")
 	repeats = flag.Int("repeats", 5, "how often each is measured")
-	only    = flag.String("only", "", "one of path, swap, tail, outage")
+	only    = flag.String("only", "", "one of path, pair, swap, tail, outage; pair is path with the first two only, in shorter turns")
 )
 
 func main() {
@@ -34,8 +34,8 @@
 	for _, e := range []struct {
 		name string
 		run  func()
-	}{{"path", path}, {"swap", swap}, {"tail", tail}, {"outage", outage}} {
-		if *only == "" || *only == e.name {
+	}{{"path", func() { path(4, 4*time.Second) }}, {"pair", pair}, {"swap", swap}, {"tail", tail}, {"outage", outage}} {
+		if *only == e.name || *only == "" && e.name != "pair" {
 			e.run()
 		}
 	}
@@ -186,22 +186,29 @@
 
 func quick(_ int, n *standin.Node) { n.Quiet = true }
 
-// path is what the ordinary path costs.
-func path() {
+// pair is what the ordinary path costs without a file beside the program before, in many short turns.
+func pair() {
+	*repeats *= 3
+	path(2, 2*time.Second)
+}
+
+// path is what the ordinary path costs, for so many variants, each for so long.
+func path(most int, span time.Duration) {
 	type variant struct{ name, program, terms string }
 	variants := []variant{{"no file", *program, ""}, {"one route", *program, routes(1)}, {"10,000 routes", *program, routes(10_000)}}
 	if *before != "" {
 		variants = append([]variant{{"the program before", *before, ""}}, variants...)
 	}
+	variants = variants[:min(most, len(variants))]
 	out := each(variants, func(v variant, f figures) {
 		b := &bench{}
 		defer b.end()
 		fleet := start(b, v.program, v.terms, quick)
 		load(fleet, 32, time.Second)
 		used := cpu(fleet)
-		jobs := load(fleet, 32, 4*time.Second)
+		jobs := load(fleet, 32, span)
 		f.add("us of CPU a job", float64((cpu(fleet)-used).Microseconds())/float64(len(jobs)))
-		f.add("jobs a second", float64(len(jobs))/4)
+		f.add("jobs a second", float64(len(jobs))/span.Seconds())
 		f.add("MB", resident(fleet))
 	})
 	fmt.Println("ordinary path, 32 clients")
