Tests of nights on which clocks change, and of denied rumors: two mutations had survived

Cause: of eighteen ways to break terms and plans by hand two were found by no test: a season's moment where the clock leaps over it, and a denial that keeps its incarnation.

Change: a table of the two nights, and a test of rumor, denial and return. Each fails with its mutation and passes without; the other sixteen were found before.

--- a/internal/decide/plan/plan_test.go
+++ b/internal/decide/plan/plan_test.go
@@ -371,6 +371,25 @@
 	}
 }
 
+// Who hears that it is called gone denies it by a higher incarnation, which outdoes the rumor elsewhere; an old one does not.
+func TestDenial(t *testing.T) {
+	me, other := NewMembers("me", 3, 100*ms, 0, rand.IntN), NewMembers("other", 1, 100*ms, 0, rand.IntN)
+	other.Heard(0, "me", 3)
+	rumor := Rumor{"me", 3, Left}
+	if other.Told(0, rumor); slices.Contains(other.Live(), "me") {
+		t.Fatal("not believed")
+	}
+	if other.Heard(0, "me", 3); slices.Contains(other.Live(), "me") {
+		t.Error("who was called gone came back with its old incarnation")
+	}
+	if !me.Told(0, rumor) || me.Told(0, rumor) || me.Incarnation() != 4 {
+		t.Fatal("not denied once, with a higher incarnation: ", me.Incarnation())
+	}
+	if other.Told(0, me.All()[0]); !slices.Contains(other.Live(), "me") {
+		t.Error("the denial was not believed")
+	}
+}
+
 // Members that answer are believed alive by all, one that is dead is called gone by all after its time, one with a broken link
 // to one other is not, and one that was paused denies its own death with a new incarnation.
 func TestMembers(t *testing.T) {
--- a/internal/decide/terms/terms_test.go
+++ b/internal/decide/terms/terms_test.go
@@ -315,6 +315,34 @@
 	})
 }
 
+// The two nights on which clocks change, by hand: 2026-03-29 leaps from 2:00 to 3:00, 2026-10-25 goes back from 3:00 to 2:00.
+func TestSeasonsOnNightsOfChange(t *testing.T) {
+	zone, _ := time.LoadLocation("Europe/Berlin")
+	at := func(s string) int64 {
+		m, err := time.Parse("2006-01-02T15:04Z", s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return m.UnixNano()
+	}
+	for _, c := range []struct {
+		from, to   int
+		begin, end string // in UTC
+	}{
+		{150, 210, "2026-03-29T01:00Z", "2026-03-29T01:30Z"}, // 2:30 does not come; 3:30 does
+		{90, 150, "2026-03-29T00:30Z", "2026-03-29T01:00Z"},  // 1:30 to where 2:30 would be
+		{150, 210, "2026-10-25T00:30Z", "2026-10-25T02:30Z"}, // the first 2:30 to 3:30, two hours on
+		{90, 150, "2026-10-24T23:30Z", "2026-10-25T00:30Z"},  // 1:30 to the first 2:30
+	} {
+		s := Season{From: c.from, To: c.to}
+		in, until := s.holds(at(c.begin), zone)
+		before, then := s.holds(at(c.begin)-1, zone)
+		if !in || until != at(c.end) || before || then != at(c.begin) {
+			t.Errorf("%v: %v until %v, before %v until %v", c, in, time.Unix(0, until).UTC(), before, time.Unix(0, then).UTC())
+		}
+	}
+}
+
 // What a route has learnt goes on under its name, a job in hand keeps its terms, and old books are let go of: memory
 // stands still over 10,000 books.
 func TestInherit(t *testing.T) {
