--- a/internal/decide/terms/book.go
+++ b/internal/decide/terms/book.go
@@ -53,6 +53,7 @@
 	groups := map[int64]bool{}
 	for i := range d.Routes {
 		from := &d.Routes[i]
+		g.part(i)
 		matches[i] = from.Match
 		groups[from.Match.Group] = true
 		r := &b.routes[i]
--- a/internal/decide/terms/prove.go
+++ b/internal/decide/terms/prove.go
@@ -17,6 +17,7 @@
 	names, matches := map[string]int{}, map[Match]int{}
 	for i := range d.Routes {
 		r := &d.Routes[i]
+		g.part(i)
 		if k, twice := names[r.Name]; twice {
 			p.fault(r.At+"/name", "route %q has this name too, as number %d", d.Routes[k].Name, k+1)
 		}
@@ -255,6 +256,7 @@
 	free := b.freeKeys()
 	for i := range p.draft.Routes {
 		r := &p.draft.Routes[i]
+		p.ground.part(i)
 		by := int32(-1)
 		if p.witnesses(&r.Match, b.freeGroup, free, func(j *Job) bool {
 			by = b.index.find(j)
--- a/internal/decide/terms/terms.go
+++ b/internal/decide/terms/terms.go
@@ -175,6 +175,14 @@
 	Tariffs  []string       // names, by index
 	Waits    []int64        // for so long the clients of each tariff wait at most; 0: not said
 	Groups   map[int64]bool // nil: not known
+	Between  func()         // called now and then in long work, so that others have their turn; may be nil
+}
+
+// part calls Between after each so many of n parts of some work.
+func (g *Ground) part(n int) {
+	if n%64 == 63 && g.Between != nil {
+		g.Between()
+	}
 }
 
 // limit is the longest time that a job of the tariff can have under the clause; 0: not known.
--- a/internal/paper/paper.go
+++ b/internal/paper/paper.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"runtime"
 	"slices"
 	"strconv"
 	"strings"
@@ -63,6 +64,7 @@
 	text   []byte
 	Value  any // objects are map[string]any, arrays []any, numbers float64
 	faults Faults
+	values int
 }
 
 // Read reads a file's text. Where its form is wrong the sheet has faults, and the value as far as it could be read.
@@ -116,6 +118,9 @@
 
 // value reads the next value. A fault that leaves the form whole is noted, and reading goes on.
 func (s *Sheet) value(d *jsontext.Decoder) (v any, err error) {
+	if s.values++; s.values%(16*giveWay) == 0 {
+		runtime.Gosched()
+	}
 	before := int(d.InputOffset())
 	tok, err := d.ReadToken()
 	if err != nil {
--- a/internal/paper/schema.go
+++ b/internal/paper/schema.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"net/netip"
+	"runtime"
 	"slices"
 	"strings"
 
@@ -48,20 +50,44 @@
 
 // Check holds the sheet against the schema, and tells whether it keeps to it.
 func (s *Sheet) Check(schema *Schema) bool {
-	err, wrong := schema.schema.Validate(s.Value).(*jsonschema.ValidationError)
-	if !wrong {
-		return true
-	}
 	var notes []Note
-	schema.leaves(err, func(n Note) {
-		if !slices.ContainsFunc(s.faults, func(f Fault) bool { return f.At == n.At }) { // its value stands for nothing
-			notes = append(notes, n)
+	hold := func(at string, c *jsonschema.Schema, v any) {
+		if err, wrong := c.Validate(v).(*jsonschema.ValidationError); wrong {
+			schema.leaves(err, func(n Note) {
+				n.At = at + n.At
+				if !slices.ContainsFunc(s.faults, func(f Fault) bool { return f.At == n.At }) { // its value stands for nothing
+					notes = append(notes, n)
+				}
+			})
+		}
+	}
+	top, _ := s.Value.(map[string]any)
+	rest := maps.Clone(top)
+	for name, member := range top {
+		p, elements := schema.schema.Properties[name], []any(nil)
+		if elements, _ = member.([]any); p == nil || p.Items2020 == nil || len(elements) <= giveWay || p.MaxItems != nil && len(elements) > *p.MaxItems {
+			continue
+		}
+		rest[name] = elements[:1] // the others one by one, so that whoever serves meanwhile is not kept waiting
+		for i, e := range elements {
+			if hold(fmt.Sprintf("/%s/%d", Escape(name), i), p.Items2020, e); i%giveWay == 0 {
+				runtime.Gosched()
+			}
 		}
-	})
+	}
+	if rest == nil {
+		hold("", schema.schema, s.Value)
+	} else {
+		hold("", schema.schema, rest)
+	}
 	s.Add(notes)
-	return false
+	return len(notes) == 0
 }
 
+// giveWay is how many parts of a file are looked at before other tasks have their turn: on one core a long file would hold
+// them up otherwise, by the scheduler's whole slice at each of their steps.
+const giveWay = 16
+
 // leaves tells the errors that have no cause below them.
 func (s *Schema) leaves(e *jsonschema.ValidationError, tell func(Note)) {
 	if len(e.Causes) > 0 {
--- a/internal/service/check.go
+++ b/internal/service/check.go
@@ -4,6 +4,7 @@
 	_ "embed" // of the schema
 	"fmt"
 	"os"
+	"runtime"
 	"sync"
 
 	"sedgestream/internal/decide/terms"
@@ -71,7 +72,8 @@
 // Ground is what terms are proved against, by a posting: its contract, and the groups of its list. Where the list names
 // no node, no group is known.
 func (p *Posting) Ground() *terms.Ground {
-	g := &terms.Ground{Contract: &p.Contract.Contract, Tariffs: make([]string, len(p.Contract.Tariffs)), Waits: p.Contract.Waits}
+	g := &terms.Ground{Contract: &p.Contract.Contract, Tariffs: make([]string, len(p.Contract.Tariffs)), Waits: p.Contract.Waits,
+		Between: runtime.Gosched}
 	for name, i := range p.Contract.Names {
 		g.Tariffs[i] = name
 	}
--- a/internal/termsfile/termsfile.go
+++ b/internal/termsfile/termsfile.go
@@ -94,7 +94,9 @@
 		r.season(fmt.Sprintf("/seasons/%d", i), object(e))
 	}
 	for i, e := range array(m["routes"]) {
-		r.route(fmt.Sprintf("/routes/%d", i), object(e))
+		if r.route(fmt.Sprintf("/routes/%d", i), object(e)); i%64 == 63 && r.ground.Between != nil {
+			r.ground.Between()
+		}
 	}
 }
 
