--- a/balance/balance.go
+++ b/balance/balance.go
@@ -392,13 +392,13 @@
 	return m.work+usual <= part*r.ownShare(m, now)
 }
 
-// ownShare is how much work this router may send a young node over the rule's span, if all others do as it does.
+// ownShare is how much work this router may send a young node over the rule's span, if all do as it does.
 func (r *Router) ownShare(m *node, now int64) float64 {
 	return r.warmth(m, now) * r.perSpan * r.borne * m.weight
 }
 
-// Share is that of a node, what this router could use of it, its part of what it sends the others, and the least that
-// any job takes. No share: it is not young.
+// Share is that of a node, what this router could use of it, its part of what it sends the others, and
+// the least that any job takes. No share: it is not young.
 func (r *Router) Share(now int64, n int) (share, want, least float64) {
 	if m := &r.nodes[n]; m.group >= 0 && r.warmth(m, now) < 1 && r.open(m) {
 		share, want, least = r.ownShare(m, now), r.borne*m.weight, math.MaxFloat64
@@ -409,8 +409,9 @@
 	return share, max(want, least), least
 }
 
-// Lend has a young node sent so much work at most over the rule's span, until then; after that and until kept a part of
-// the own share. It moves shares about among routers, so that all together send what they would alone.
+// Lend has a young node sent so much work at most over the rule's span, until then; after that and until
+// kept a part of the own share. It moves shares about among routers, so that all together send what they
+// would alone.
 func (r *Router) Lend(n int, work, part float64, until, kept int64) {
 	m := &r.nodes[n]
 	m.lent, m.kept, m.lentUntil, m.keptUntil = work, part, until, kept
@@ -423,7 +424,8 @@
 	}
 }
 
-// Seen tells what this router has seen of a node by itself: that it had to set it aside, or that it answered within the span.
+// Seen tells what this router has seen of a node by itself: that it had to set it aside, or that it
+// answered within the span.
 func (r *Router) Seen(now int64, n int, span int64) (failed, answered bool) {
 	m := &r.nodes[n]
 	return now < m.aside && m.failures >= distrust, m.served > 0 && now-m.served < span
