terms explain tells each pause in the worst case

Need: the time line named trips and copies; pauses showed only as gaps.

Change: a line for each pause, with its longest length; a case in the test of the command line.

--- a/cmd/sedgestream/terms_test.go
+++ b/cmd/sedgestream/terms_test.go
@@ -245,6 +245,7 @@
 	before := write("before.json", termsOf(0))
 	after := write("after.json", strings.Replace(termsOf(0), `{"name": "all"`, `{"name": "orders", "match": {"tariff": "order"}, "terms": {"trips": 2}},
  {"name": "all"`, 1))
+	pausing := write("pausing.json", strings.Replace(termsOf(0), `"trips": 4`, `"trips": 2, "again": {"base": "30ms"}`, 1))
 	bad := write("bad.json", strings.Replace(termsOf(0), `"trips": 4`, `"copies": {"after": "20ms", "part": 0.1}`, 1))
 	for _, c := range []struct {
 		args      []string
@@ -276,6 +277,7 @@
 		{[]string{"terms", "explain", after, "--config", good, "--tariff", "view", "--group", "2", "--json"}, 0, `"trips": 4`, ""},
 		{[]string{"terms", "explain", before, "--config", good, "--tariff", "once", "--group", "2"}, 0, "160ms   terminated: it may have run", ""},
 		{[]string{"terms", "explain", before, "--config", good, "--tariff", "sight", "--group", "2"}, 1, "", "there are view, order, once"},
+		{[]string{"terms", "explain", pausing, "--config", good, "--tariff", "view", "--group", "2"}, 0, "160ms   a pause of 30ms at most\n190ms   trip 2 leaves", ""},
 		{[]string{"terms", "diff", before, after, "--config", good}, 0, "tariff order  all           orders", ""},
 		{[]string{"terms", "diff", before, before, "--config", good}, 0, "no job is treated otherwise", ""},
 		{[]string{"completion", "bash"}, 0, "terms explain", ""},
--- a/internal/decide/terms/explain.go
+++ b/internal/decide/terms/explain.go
@@ -125,6 +125,9 @@
 			e.final(t, c, end, "the next would leave after the hard limit", say)
 			return
 		}
+		if next > end {
+			say(end, "a pause of %s at most", text(next-end))
+		}
 		at = next
 	}
 	say(limit, "the hard limit: the client is told so")
