--- a/cmd/sedgestream/terms_test.go
+++ b/cmd/sedgestream/terms_test.go
@@ -300,12 +300,19 @@
 	}
 }
 
-// The file that stands in deploy/ keeps to the contract that it is for.
+// The file that stands in deploy/, and the one on the operators' page, keep to the contract that they are for.
 func TestDeployedTerms(t *testing.T) {
-	code, out, errs := sedgestream(t, "terms", "check", "../../deploy/terms.json", "--config", "../../deploy/posting.example.json")
-	if code != 0 {
-		t.Error(out, errs)
+	page, _ := os.ReadFile("../../docs/operators/route-terms.md")
+	_, example, _ := strings.Cut(string(page), "## A whole file\n")
+	example, _, _ = strings.Cut(example, "| member")
+	path := filepath.Join(t.TempDir(), "page.json")
+	os.WriteFile(path, []byte(example), 0o600)
+	for _, file := range []string{"../../deploy/terms.json", path} {
+		if code, out, errs := sedgestream(t, "terms", "check", file, "--config", "../../deploy/posting.example.json"); code != 0 {
+			t.Error(out, errs)
+		}
 	}
+	code, out, errs := 0, "", ""
 	if code, out, errs = sedgestream(t, "check", "../../deploy/posting.example.json"); code != 0 || strings.Contains(errs, "nothing reads") {
 		t.Error(out, errs)
 	}
--- a/cmd/sedgestream/tier_test.go
+++ b/cmd/sedgestream/tier_test.go
@@ -47,7 +47,7 @@
 	path     string
 	addrs    []string
 	planners []*exec.Cmd
-	logs     []*strings.Builder
+	ended    []chan struct{} // of each planner's process
 	nodes    []*standin.Node
 	fleets   []*standin.Fleet
 
@@ -78,7 +78,7 @@
 		list = append(list, fmt.Sprintf(`{"name": "p%d", "address": %q}`, p, x.addrs[p]))
 	}
 	os.WriteFile(x.path, fmt.Appendf(nil, `{"version": 1, "term": %q, "period": %q, "planners": [%s]}`, tierTerm, tierPeriod, strings.Join(list, ",")), 0o600)
-	x.planners, x.logs = make([]*exec.Cmd, planners), make([]*strings.Builder, planners)
+	x.planners, x.ended = make([]*exec.Cmd, planners), make([]chan struct{}, planners)
 	for p := range planners {
 		x.plan(p)
 	}
@@ -101,7 +101,7 @@
 		x.t.Fatal(err)
 	}
 	up := make(chan bool, 1)
-	log := &strings.Builder{}
+	log, ended := &strings.Builder{}, make(chan struct{})
 	go func() {
 		for lines := bufio.NewScanner(out); lines.Scan(); {
 			x.mu.Lock()
@@ -113,8 +113,9 @@
 		}
 		cmd.Wait()
 		close(up)
+		close(ended)
 	}()
-	x.planners[p], x.logs[p] = cmd, log
+	x.planners[p], x.ended[p] = cmd, ended
 	x.t.Cleanup(func() {
 		cmd.Process.Signal(syscall.SIGCONT)
 		cmd.Process.Kill()
@@ -238,7 +239,7 @@
 			p := chance.IntN(3)
 			x.planners[p].Process.Signal(syscall.SIGCONT)
 			x.planners[p].Process.Kill()
-			x.planners[p].Wait()
+			<-x.ended[p]
 			x.plan(p)
 		case what < 4:
 			p := x.planners[chance.IntN(3)].Process
@@ -454,7 +455,7 @@
 		t.Errorf("%s", out)
 	}
 	x.planners[1].Process.Kill()
-	x.planners[1].Wait()
+	<-x.ended[1]
 	if code, _, errs := sedgestream(t, "plan", "show", "--tier", x.path); code != 1 || !strings.Contains(errs, "planner p1 does not answer") {
 		t.Errorf("%d %s", code, errs)
 	}
