Paid probes without checks, own zone first, lots and oftener news at many routers

Lines at fault: Take took seven eighths of each job's probes back wherever a router isn't sparse, though nodes don't check; replica took the highest score, which is the same node at 500 routers; speak told every second contract time; no zone was looked at.

Four tests, each seen to fail without its fix.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -30,6 +30,7 @@
 	distrust     = 3       // failures in a row for a node to be set aside
 	passes       = 2       // a trip that its node has passed over so many times is overdue
 	coldPart     = 0.7     // of what pushes a cold node over that all routers together may send it
+	farther      = 1.0 / 8 // of its weight that a node of another zone counts
 	sweeps       = 16      // in the shortest contract time
 	holdShare    = 0.2     // of a job's time for which it may be held
 	spare        = 0.5     // part of the room that second trips and reads strange to a primary may fill
@@ -48,7 +49,8 @@
 		carried: c.SessionsCarried, asideFor: 4 * c.ConnectTimeout, grace: c.DrainGrace / 2, coldFor: c.ColdFor,
 		span: max(c.FallSpan, 1), startShare: c.StartShare, perSpan: coldPart * c.FallMultiple,
 		away: c.LongestAbsence, leastBackoff: c.AskEvery / 20, goneMayServe: c.GoneMayServe, peers: c.RoutersTalk,
-		keep: c.KeepAlive, marks: map[uint32][]int32{}, young: map[uint64]int64{}, old: map[uint64]int64{}}
+		keep: c.KeepAlive, zone: int32(c.Zone), marks: map[uint32][]int32{}, young: map[uint64]int64{},
+		old: map[uint64]int64{}}
 	shortest, best, bound := int64(math.MaxInt64), 0.0, int64(math.MaxInt64)
 	for _, t := range c.Tariffs {
 		switch shortest = min(shortest, t.ContractTime); {
@@ -65,7 +67,7 @@
 	if r.useful = bound; bound == math.MaxInt64 {
 		r.useful = 2 * shortest
 	}
-	r.refresh, r.period, r.fade, r.shared = r.useful*4/5, 2*shortest, 4*shortest, opened
+	r.refresh, r.period, r.fade, r.shared = r.useful*4/5, shortest/2, 4*shortest, opened
 	r.listen(now)
 	r.ListMoved(now)
 	out.Alarm(r.sweep)
@@ -96,7 +98,7 @@
 func (r *Router) again(n int32, quiet, now int64) {
 	m := &r.nodes[n]
 	if r.isTold(now) {
-		quiet = max(quiet, 2*r.period)
+		quiet = max(quiet, r.fade)
 	}
 	if r.purse >= 1 && now-m.shownAt >= quiet && now-m.probed >= quiet && now >= m.aside && r.open(m) {
 		r.purse--
@@ -108,7 +110,7 @@
 // wrote, 0 for never, where sessions carry that. The terms narrow what follows.
 func (r *Router) Take(now int64, p Place, t, g int, session uint64, wait, wrote int64, terms *Terms) {
 	j := &r.jobs[p]
-	if r.purse += probing; !r.sparse() || r.isTold(now) {
+	if r.purse += probing; !r.sparse() && r.check || r.isTold(now) {
 		r.purse -= probing * (1 - quick/2)
 	}
 	r.purse = min(r.purse, float64(len(r.group(g).members)))
@@ -118,7 +120,9 @@
 	if terms.Trips > 0 {
 		j.most = min(j.most, int(terms.Trips))
 	}
-	j.lot = 1 - r.one()
+	if r.sparse() {
+		j.lot = r.lot()
+	}
 	if !r.carried {
 		j.need = r.lastWrite(session)
 	} else if wrote > 0 {
@@ -199,10 +203,15 @@
 		if !(laggard && r.sparse() && r.bears(m, j, now)) && !r.fits(m, j, 1, now) {
 			continue
 		}
-		score := m.weight * r.warmth(m, now) / (r.one() + r.crowd(m, now))
+		score := m.weight * r.warmth(m, now) / (1 + r.crowd(m, now)) / r.luck()
 		if r.sparse() && m.answers > 0 && now-m.heard < r.keep { // it has a connection there
 			score *= 2
 		}
+		// A node of another zone counts little: jobs that cross cost more, and the way there turns slow and loses
+		// jobs far oftener than whole zones run short. It harms where the own zone has few nodes: they fill first.
+		if r.zone >= 0 && m.zone != r.zone {
+			score *= farther
+		}
 		// Laggards first, the one furthest behind before the others: it serves none but these reads, and a
 		// long read, which may stop its node's apply, stops it where that costs least. Guards against
 		// replicas lagging all in turn, whatever holds them up. It harms if the laggard is slow as well:
@@ -221,16 +230,19 @@
 	return best, fresh
 }
 
-// one is the one in the design's one more than the trips out. A router that has hardly any trips out would
-// find the nodes with the highest weight idle each time, and all routers together would crowd them; so it
-// counts a random part of one, by which idle nodes are chosen about in proportion to their weights.
-func (r *Router) one() float64 {
+// luck is what a score is divided by. A router that has hardly any trips out would find the nodes with the
+// highest weight / (1 + trips) the same each time as all others do, which know no more than the news do: they
+// would crowd them till the next news. So it draws lots, by which a node is chosen in proportion to that.
+func (r *Router) luck() float64 {
 	if !r.sparse() {
 		return 1
 	}
-	return float64(1+r.chance.below(1<<20)) / (1 << 20)
+	return -math.Log(1 - r.lot())
 }
 
+// lot is drawn from above 0 to below 1.
+func (r *Router) lot() float64 { return float64(1+r.chance.below(1<<20)) / (2 + 1<<20) }
+
 // sparse tells whether the router has so few trips out at a node, on average, that they tell little.
 func (r *Router) sparse() bool { return r.borne < tells*float64(r.span) }
 
@@ -682,7 +694,7 @@
 }
 
 func (r *Router) listen(now int64) {
-	r.speaking, r.tellAt, r.speakAt = false, 0, now+2*r.period+r.chance.below(4*r.period)
+	r.speaking, r.tellAt, r.speakAt = false, 0, now+r.fade+r.chance.below(2*r.fade)
 }
 
 // speak asks all nodes in turn and tells the others, where many routers have few trips each: so that one
@@ -703,7 +715,7 @@
 	}
 }
 
-func (r *Router) isTold(now int64) bool { return r.toldAt > 0 && now-r.toldAt < 2*r.period }
+func (r *Router) isTold(now int64) bool { return r.toldAt > 0 && now-r.toldAt < r.fade }
 
 // Heard takes in what another router tells. It only ever is news of nodes that the own list has named.
 func (r *Router) Heard(now int64, from int, words []byte) {
--- /dev/null
+++ b/balance/shape_test.go
@@ -0,0 +1,79 @@
+package balance
+
+import "testing"
+
+// Guards against reads that fall on primaries where nodes don't check: there each job pays for probes, though the router's
+// own counts tell something, as lag can't be presumed.
+func TestUncheckedReadsPayForProbes(t *testing.T) {
+	for _, check := range []bool{true, false} {
+		c := shop()
+		c.NodesCheck = check
+		l := trio(c, 10*ms, 10*ms)
+		l.pass(c.Tariffs[Bounded].Bound + 50*ms)
+		l.r.purse, l.probes = 0, nil
+		l.take(int(Bounded), 0, 0, 300*ms, 0)
+		if asked := len(l.probes) > 0; asked == check {
+			t.Fatalf("nodes check: %v, probes of %v", check, l.probes)
+		}
+	}
+}
+
+// Guards against a slow and lossy way between zones: nodes of the own zone come first until they hold many more, and those
+// of others where there are no more of its own.
+func TestOwnZoneFirst(t *testing.T) {
+	c := shop()
+	c.SecondTrips = false
+	l := newLedger(c, 3)
+	l.dense = true
+	l.list(node{listed: true}, node{zone: 1}, node{})
+	l.heard(0, Primary, l.now)
+	l.heard(1, Replica, l.now)
+	l.heard(2, Replica, l.now)
+	for range 3 {
+		l.take(int(Any), 0, 0, 300*ms, 0)
+	}
+	want(t, l, 2, 2, 2)
+	l.list(node{listed: true}, node{zone: 1}, node{standing: Draining})
+	l.take(int(Any), 0, 0, 300*ms, 0)
+	want(t, l, 2, 2, 2, 1)
+}
+
+// Guards against hundreds of routers that all send to the node that the last news showed emptiest: they draw lots.
+func TestSparseRoutersSpread(t *testing.T) {
+	at := [3]int{}
+	for seed := range uint64(200) {
+		l := newLedger(shop(), seed)
+		l.list(node{listed: true}, node{}, node{})
+		for n, held := range []float64{0, 1, 2} {
+			l.r.Probed(l.now, n, true, Report{Given: true, Position: l.now, Role: Role(1 + min(n, 1)), Queue: -1, Held: held})
+		}
+		l.r.toldAt = l.now
+		l.take(int(Any), 0, 0, 300*ms, 0)
+		for _, n := range l.open() {
+			at[n]++
+		}
+	}
+	if at[0] > 0 || at[1] < 100 || at[2] < 60 { // three to two
+		t.Fatalf("jobs of 200 routers went to %v", at)
+	}
+}
+
+// Guards against hundreds of routers that follow old news: one tells twice in a contract time.
+func TestNewsComeTwiceAContractTime(t *testing.T) {
+	c := shop()
+	c.RoutersTalk = true
+	l := trio(c, 0, 0)
+	l.dense = false
+	answer := func(span int64) {
+		for until := l.now + span; l.now < until; l.pass(c.Tick) {
+			for ; len(l.probes) > 0; l.probes = l.probes[1:] {
+				l.heard(l.probes[0], l.r.nodes[l.probes[0]].role, l.now-20*ms)
+			}
+		}
+	}
+	answer(4 * l.r.fade)
+	before := len(l.words)
+	if answer(10 * c.Tariffs[0].ContractTime); len(l.words)-before < 15 {
+		t.Fatalf("told %d times in ten contract times", len(l.words)-before)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -21,6 +21,7 @@
 	startShare, perSpan                    float64
 	peers, speaking, goneMayServe          bool
 	me                                     int
+	zone                                   int32
 	marks                                  map[uint32][]int32
 	period, speakAt, tellAt, toldAt, keep  int64
 	shared                                 room             // of all nodes, for want of better
--- a/balance/types.go
+++ b/balance/types.go
@@ -65,6 +65,7 @@
 	GoneMayServe    bool  // only draining binds: a node said to be gone without it may be sent to
 	RoutersTalk     bool
 	Me              int  // this router's number among those that may talk
+	Zone            int  // this router's, as its caller numbers zones; below 0: not said
 	SessionsCarried bool // session reads say how long ago their session wrote
 }
 
--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -12,6 +12,7 @@
 type Contract struct {
 	balance.Contract
 	Names map[string]int // of the tariffs
+	Zones map[string]int // the router's own is the first, if it is said
 	Zero  int64          // of positions on the simulator's wire
 	Place bool           // reports give the node's position
 	Role  bool           // and whether it is the primary
@@ -22,7 +23,7 @@
 func Read(f *fastjson.Value) *Contract {
 	limits, rules, kind := field.Object(f, "limits"), field.Object(f, "rules"), field.Object(f, "specifics")
 	checks := field.Str(kind, "serverChecks", false)
-	c := &Contract{Names: map[string]int{}, Zero: us(kind, "positionZeroUs", false),
+	c := &Contract{Names: map[string]int{}, Zones: map[string]int{}, Zero: us(kind, "positionZeroUs", false),
 		Place: field.Str(kind, "reportX0", false) != "", Role: field.Str(kind, "reportX1", false) != ""}
 	c.Contract = balance.Contract{
 		Tick:           us(f, "tickUs", false),
@@ -42,9 +43,13 @@
 
 		GoneMayServe:    field.Flag(rules, "softRemoval"),
 		RoutersTalk:     field.Flag(limits, "peers"),
+		Zone:            -1,
 		Me:              int(field.Whole(f, "me", false)),
 		SessionsCarried: field.Str(kind, "tokenMode", false) == "brought",
 	}
+	if zone := field.Str(f, "locality", false); zone != "" {
+		c.Zone = Index(c.Zones, zone)
+	}
 	if field.Flag(limits, "retryAfter") {
 		c.LongestAbsence = us(limits, "maxRetryAfterUs", false)
 	}
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"hash/crc32"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -112,9 +113,10 @@
 }
 
 // Open starts the module.
-func Open(c *balance.Contract, seed uint64, nodes Nodes, log *zap.Logger) *Desk {
+func Open(c *contract.Contract, seed uint64, nodes Nodes, log *zap.Logger) *Desk {
 	d := &Desk{log: log, start: time.Now(), nodes: nodes, ids: map[string]int{}, groups: map[int64]int{},
 		zones: map[string]int{}, Bell: make(chan struct{}, 1)}
+	maps.Copy(d.zones, c.Zones)
 	d.unix = d.start.UnixNano()
 	// A job has at most so many orders at a time: a trip, its revoking and its ending for each leg, and the
 	// bounce or termination, the client's leaving and the vacating of its place.
@@ -123,7 +125,7 @@
 	d.alarm = time.AfterFunc(time.Hour, d.wake)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.router = balance.Open(c, seed, d, d.Now())
+	d.router = balance.Open(&c.Contract, seed, d, d.Now())
 	return d
 }
 
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -172,9 +172,9 @@
 	clients := max(1, int(clientsShare*float64(shared)))
 
 	// On sockets the list always has to be asked for.
-	terms := c.Contract
+	terms := *c
 	terms.ListOnAsking = true
-	s.nodes = trip.New(&terms, trip.Limits{Connections: shared - clients, Budget: ring.NewBudget(values)}, s.log)
+	s.nodes = trip.New(&terms.Contract, trip.Limits{Connections: shared - clients, Budget: ring.NewBudget(values)}, s.log)
 	s.desk = desk.Open(&terms, p.Seed, s.nodes, s.log)
 	s.nodes.Desk = s.desk
 	if s.files.Tier != "" {
