Trips that earn nothing late end with the contract time where clients can be asked away

Change: Open marks tariffs whose late answers earn nothing and whose hard limit lies no further behind the contract time than clients can be asked away; send ends their trips at the contract time, place answers at once with the longest absence, Ended sees silence.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -61,7 +61,15 @@
 		}
 	}
 	for _, t := range c.Tariffs {
-		r.tariffs = append(r.tariffs, tariff{t, float64(t.ContractTime) / 4, spare + 0.75*t.Earnings/best})
+		own := tariff{Tariff: t, usual: float64(t.ContractTime) / 4, share: spare + 0.75*t.Earnings/best}
+		// Where late answers earn nothing and a client can be asked away until its hard limit, a trip ends with the
+		// contract time and leaves its room to jobs that earn. Elsewhere the client would come again at once,
+		// which is more work than an answer that comes late.
+		rest := t.HardLimit - t.ContractTime
+		if t.LateShare == 0 && t.Repeat == Reissuable && rest > 0 && rest <= r.away {
+			own.farewell = r.away
+		}
+		r.tariffs = append(r.tariffs, own)
 	}
 	r.sweep = max(c.Tick, shortest/sweeps)
 	if r.useful = bound; bound == math.MaxInt64 {
@@ -120,9 +128,7 @@
 	if terms.Trips > 0 {
 		j.most = min(j.most, int(terms.Trips))
 	}
-	if r.sparse() {
-		j.lot = r.lot()
-	}
+	j.lot = r.lot()
 	if !r.carried {
 		j.need = r.lastWrite(session)
 	} else if wrote > 0 {
@@ -135,7 +141,10 @@
 func (r *Router) place(j *job, now int64) {
 	t := &r.tariffs[j.tariff]
 	late := now + int64(t.usual/2)
-	if j.terms.Refused || !r.mayRepeat(j, now) || late > j.limit || t.LateShare == 0 && late > j.wanted {
+	if t.LateShare == 0 && late > j.wanted {
+		r.giveUp(j, now, t.farewell)
+		return
+	} else if j.terms.Refused || !r.mayRepeat(j, now) || late > j.limit {
 		r.giveUp(j, now, 0)
 		return
 	}
@@ -492,6 +501,9 @@
 	r.decay(m, now)
 	m.work += t.usual
 	until := j.limit
+	if t.farewell > 0 {
+		until = j.wanted
+	}
 	if j.terms.TripTime > 0 {
 		until = min(until, now+j.terms.TripTime)
 	} else if j.terms.TripShare > 0 {
@@ -550,9 +562,12 @@
 		if !k.late && e == TimedOut { // a client that waits briefly: it would have taken longer
 			r.learn(m, k.crowd+1, min(tooLate, 2*float64(took)/float64(t.ContractTime)))
 		}
-		// late does not see silence in trips that their terms end sooner than that.
-		if j.terms.TripTime+j.terms.TripShare > 0 && !k.late && m.heard <= k.sent && now >= m.aside {
+		// late does not see silence in trips that end sooner than that.
+		switch silent := !k.late && m.heard <= k.sent && now >= m.aside; {
+		case silent && j.terms.TripTime+j.terms.TripShare > 0:
 			r.failed(m, now, 1)
+		case silent && now >= j.wanted && t.farewell > 0:
+			r.failed(m, now, distrust)
 		}
 	}
 	if t.Need == Write {
--- a/balance/shape_test.go
+++ b/balance/shape_test.go
@@ -1,6 +1,10 @@
 package balance
 
-import "testing"
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
 
 // Guards against reads that fall on primaries where nodes don't check: there each job pays for probes, though the router's
 // own counts tell something, as lag can't be presumed.
@@ -77,3 +81,31 @@
 		t.Fatalf("told %d times in ten contract times", len(l.words)-before)
 	}
 }
+
+// Guards against room taken by jobs that earn nothing any more: their trips end with the contract time where clients can be
+// asked away till their hard limit, the client is told at once, and the silence of a node still shows; elsewhere, and
+// where late answers earn, trips run on.
+func TestWorthlessTripsEnd(t *testing.T) {
+	for _, at := range []struct {
+		limit, ended int64
+		need         Need
+	}{{1200 * ms, 300 * ms, Any}, {1500 * ms, 1400 * ms, Any}, {1200 * ms, 1400 * ms, Write}} {
+		c := shop()
+		c.SecondTrips = false
+		for i := range c.Tariffs {
+			c.Tariffs[i].HardLimit = at.limit
+		}
+		l := trio(c, 0, 0)
+		p := l.take(int(at.need), 0, 0, 1400*ms, 0)
+		n := l.open()[0]
+		if until := l.trips[0].until - l.now; until != at.ended {
+			t.Fatalf("%+v: trip ends after %d", at, until)
+		}
+		if l.pass(at.ended); at.need == Any && !slices.Contains(l.log, fmt.Sprintf("bounce %d %d", p, map[bool]int64{true: c.LongestAbsence}[at.limit == 1200*ms])) {
+			t.Fatalf("%+v: %v", at, l.log)
+		}
+		if at.need == Any && l.r.nodes[n].failures == 0 {
+			t.Fatalf("%+v: no silence", at)
+		}
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -98,8 +98,9 @@
 
 type tariff struct {
 	Tariff
-	usual float64 // mean time of a trip
-	share float64 // of a primary's room that it may fill
+	usual    float64 // mean time of a trip
+	share    float64 // of a primary's room that it may fill
+	farewell int64   // for how long clients are asked away whose job can earn nothing any more; 0: they are not
 }
 
 type group struct {
--- a/balance/types.go
+++ b/balance/types.go
@@ -39,6 +39,7 @@
 	Circle       Circle
 	Bound        int64 // Bounded only
 	ContractTime int64
+	HardLimit    int64 // of all its client's tries; 0: not said
 	Window       int64 // Numbered only: how long repeats are discarded, from the first trip that may have run
 	Earnings     float64
 	LateShare    float64 // of the earnings, for an answer between contract time and hard limit
--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -59,7 +59,7 @@
 		if i >= len(needs) {
 			field.Fail("specifics.consistency has %d values, too few for the classes", len(needs))
 		}
-		t := balance.Tariff{ContractTime: us(v, "aimUs", true), Window: us(v, "windowUs", false),
+		t := balance.Tariff{ContractTime: us(v, "aimUs", true), HardLimit: us(v, "deadlineUs", false), Window: us(v, "windowUs", false),
 			Earnings: field.Number(v, "worth", 0), LateShare: field.Number(v, "lateWorth", 0)}
 		t.Need = oneOf[balance.Need](field.Text(needs[i]), "eventual", "lag_bound", "causal", "strong", "mutate")
 		t.Repeat = oneOf[balance.Repeat](field.Str(v, "repeat", true), "pure", "token", "side_effect")
