Each zone has a router that tells of its zone's nodes

The one teller stands in one zone; its probes over the slow link time out, so routers beside those nodes know no more of them than it does.

Ruled out: crowding (13 to 17 fresh replicas show 2 each), lag (3 s are allowed).

Line at fault: speak probed all nodes from one place. Change: a teller asks and tells of its own zone's nodes, and only words of the own zone make others yield.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -218,7 +218,7 @@
 		}
 		// A node of another zone counts little: jobs that cross cost more, and the way there turns slow and loses
 		// jobs far oftener than whole zones run short. It harms where the own zone has few nodes: they fill first.
-		if r.zone >= 0 && m.zone != r.zone {
+		if !r.near(m) {
 			score *= farther
 		}
 		// Laggards first, the one furthest behind before the others: it serves none but these reads, and a
@@ -720,7 +720,7 @@
 	case now >= r.speakAt:
 		r.speaking, r.speakAt, r.tellAt, r.toldAt = true, now+r.period, now+2*r.sweep, now
 		for i := range r.nodes {
-			if m := &r.nodes[i]; r.open(m) && m.group >= 0 {
+			if m := &r.nodes[i]; r.open(m) && m.group >= 0 && r.near(m) {
 				r.probe(int32(i), now)
 			}
 		}
@@ -735,12 +735,14 @@
 // Heard takes in what another router tells. It only ever is news of nodes that the own list has named.
 func (r *Router) Heard(now int64, from int, words []byte) {
 	r.toldAt = now
-	if !r.speaking || from < r.me {
+	if r.hearNews(now, words) && (!r.speaking || from < r.me) {
 		r.listen(now)
 	}
-	r.hearNews(now, words)
 }
 
+// near tells whether the node is in the router's own zone, as all are where no zone is said.
+func (r *Router) near(m *node) bool { return r.zone < 0 || m.zone == r.zone }
+
 // Probed takes in a probe's result.
 func (r *Router) Probed(now int64, n int, ok bool, rep Report) {
 	m := &r.nodes[n]
--- a/balance/shape_test.go
+++ b/balance/shape_test.go
@@ -109,3 +109,25 @@
 		}
 	}
 }
+
+// Guards against a teller behind a slow link, whose probes of half the nodes fail: one router of each zone tells of its
+// zone's nodes, and only words of the own zone silence a router.
+func TestEachZoneHasATeller(t *testing.T) {
+	c := shop()
+	c.RoutersTalk, c.Me = true, 5
+	l := newLedger(c, 9)
+	l.list(node{listed: true}, node{}, node{zone: 1})
+	other := appendNews(heading(l.now), l.now, &node{mark: 2, position: l.now - ms, role: Replica})
+	for until := l.now + 5*l.r.fade; l.now < until; l.pass(c.Tick) {
+		for ; len(l.probes) > 0; l.probes = l.probes[1:] {
+			l.heard(l.probes[0], Replica, l.now-20*ms)
+		}
+		l.r.Heard(l.now, 1, other)
+	}
+	if len(l.words) == 0 || slices.ContainsFunc(l.words, func(w []byte) bool { return len(w) != headingLen+2*newsLen }) {
+		t.Fatalf("told %x", l.words)
+	}
+	if l.r.Heard(l.now, 1, appendNews(heading(l.now), l.now, &l.r.nodes[1])); l.r.speaking {
+		t.Fatal("two routers of one zone tell")
+	}
+}
--- a/balance/words.go
+++ b/balance/words.go
@@ -42,7 +42,7 @@
 	words := heading(now)
 	for i := range r.nodes {
 		m := &r.nodes[i]
-		if m.answered < now-r.period || m.position == 0 {
+		if m.answered < now-r.period || m.position == 0 || !r.near(m) {
 			continue
 		}
 		if words = appendNews(words, now, m); len(words)+newsLen > mostWords {
@@ -55,14 +55,17 @@
 	}
 }
 
-// hearNews takes in news of nodes that the own list has named; a mark that two of them share names none.
-func (r *Router) hearNews(now int64, words []byte) {
+// hearNews takes in news of nodes that the own list has named, and tells whether any is in the own zone; a mark that two
+// of them share names none.
+func (r *Router) hearNews(now int64, words []byte) (near bool) {
 	for at, rest := beheaded(words); len(rest) >= newsLen && at <= now; rest = rest[newsLen:] {
 		mark, news := newsIn(rest, at)
 		if named := r.marks[mark]; len(named) == 1 && news.Given {
 			m := &r.nodes[named[0]]
 			news.Queue = m.queue
 			r.reported(m, now, news)
+			near = near || r.near(m)
 		}
 	}
+	return near
 }
