--- a/balance/shape_test.go
+++ b/balance/shape_test.go
@@ -120,7 +120,9 @@
 	other := appendNews(heading(l.now), l.now, &node{mark: 2, position: l.now - ms, role: Replica})
 	for until := l.now + 5*l.r.fade; l.now < until; l.pass(c.Tick) {
 		for ; len(l.probes) > 0; l.probes = l.probes[1:] {
-			l.heard(l.probes[0], Replica, l.now-20*ms)
+			if l.heard(l.probes[0], Replica, l.now-20*ms); l.probes[0] == 2 {
+				t.Fatal("a node of another zone is asked for news")
+			}
 		}
 		l.r.Heard(l.now, 1, other)
 	}
