News are told only of nodes that show a change

Change: a teller leaves a node out that shows less than two trips more or fewer than told, unless others had none of it for two contract times.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -35,6 +35,7 @@
 	holdShare    = 0.2     // of a job's time for which it may be held
 	spare        = 0.5     // part of the room that second trips and reads strange to a primary may fill
 	calm         = 0.9     // busy cores of a laggard that still gets long reads
+	stir         = 2.0     // trips more or less at a node than told that are worth telling
 	tells        = 1.0 / 8 // trips of this router at a node, on average, for its own counts to tell much
 	probing      = 2.0     // probes for a job, when many routers share the traffic
 	sessionsKept = 1 << 16 // sessions whose last write is known, twice over
@@ -730,6 +731,16 @@
 	}
 }
 
+// worthTelling tells whether the news of a node would change what others do, or they had none for long: each
+// word costs at hundreds of routers, and most nodes stay as they are.
+func (r *Router) worthTelling(m *node, now int64) bool {
+	if math.Abs(m.shown-m.said) < stir && now-m.saidAt < r.fade/2 {
+		return false
+	}
+	m.said, m.saidAt = m.shown, now
+	return true
+}
+
 func (r *Router) isTold(now int64) bool { return r.toldAt > 0 && now-r.toldAt < r.fade }
 
 // Heard takes in what another router tells. It only ever is news of nodes that the own list has named.
--- a/balance/shape_test.go
+++ b/balance/shape_test.go
@@ -62,24 +62,36 @@
 	}
 }
 
-// Guards against hundreds of routers that follow old news: one tells twice in a contract time.
+// Guards against hundreds of routers that follow old news: one tells twice in a contract time, but only what changed.
 func TestNewsComeTwiceAContractTime(t *testing.T) {
 	c := shop()
 	c.RoutersTalk = true
 	l := trio(c, 0, 0)
 	l.dense = false
+	stirs, held := false, 0.0
 	answer := func(span int64) {
 		for until := l.now + span; l.now < until; l.pass(c.Tick) {
 			for ; len(l.probes) > 0; l.probes = l.probes[1:] {
-				l.heard(l.probes[0], l.r.nodes[l.probes[0]].role, l.now-20*ms)
+				if n := l.probes[0]; stirs {
+					held += stir
+					l.best[n] = l.now - 20*ms
+					l.r.Probed(l.now, n, true, Report{Given: true, Position: l.now - 20*ms, Role: l.r.nodes[n].role, Queue: -1, Held: held})
+				} else {
+					l.heard(n, l.r.nodes[n].role, l.now-20*ms)
+				}
 			}
 		}
 	}
 	answer(4 * l.r.fade)
 	before := len(l.words)
+	stirs = true
 	if answer(10 * c.Tariffs[0].ContractTime); len(l.words)-before < 15 {
 		t.Fatalf("told %d times in ten contract times", len(l.words)-before)
 	}
+	before, stirs = len(l.words), false
+	if answer(10 * c.Tariffs[0].ContractTime); len(l.words)-before > 7 {
+		t.Fatalf("told %d times in ten contract times, though nothing changed", len(l.words)-before)
+	}
 }
 
 // Guards against room taken by jobs that earn nothing any more: their trips end with the contract time where clients can be
--- a/balance/state.go
+++ b/balance/state.go
@@ -87,7 +87,9 @@
 	workAt                      int64
 	lent, kept                  float64 // work that it may be sent over the span, and the part of it without a lease
 	lentUntil, keptUntil        int64
-	shunned                     int64 // until when, by what others have seen
+	shunned                     int64   // until when, by what others have seen
+	said                        float64 // what it showed when others were last told, and when that was
+	saidAt                      int64
 }
 
 // room is how many trips a node can hold in good time.
--- a/balance/words.go
+++ b/balance/words.go
@@ -42,7 +42,7 @@
 	words := heading(now)
 	for i := range r.nodes {
 		m := &r.nodes[i]
-		if m.answered < now-r.period || m.position == 0 || !r.near(m) {
+		if m.answered < now-r.period || m.position == 0 || !r.near(m) || !r.worthTelling(m, now) {
 			continue
 		}
 		if words = appendNews(words, now, m); len(words)+newsLen > mostWords {
