Rooms end by lot at sparse routers, and the choice reckons with trips not shown yet

A node got some 11 jobs between two news; all routers sent to the nodes below the room at once, and none to those above.

Lines at fault: the last of fits, one bound for all routers; the score in replica, four times as high for an empty node as for one with three trips.

Change: at sparse routers the room ends by the job's lot, up to twice its size, and weights are divided by eight more than the trips shown.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -35,6 +35,7 @@
 	holdShare    = 0.2     // of a job's time for which it may be held
 	spare        = 0.5     // part of the room that second trips and reads strange to a primary may fill
 	calm         = 0.9     // busy cores of a laggard that still gets long reads
+	unseen       = 8.0     // trips on their way to a node that no news show yet, where many routers send
 	stir         = 2.0     // trips more or less at a node than told that are worth telling
 	tells        = 1.0 / 8 // trips of this router at a node, on average, for its own counts to tell much
 	probing      = 2.0     // probes for a job, when many routers share the traffic
@@ -213,7 +214,7 @@
 		if !(laggard && r.sparse() && r.bears(m, j, now)) && !r.fits(m, j, 1, now) {
 			continue
 		}
-		score := m.weight * r.warmth(m, now) / (1 + r.crowd(m, now)) / r.luck()
+		score := r.pull(m, now)
 		if r.sparse() && m.answers > 0 && now-m.heard < r.keep { // it has a connection there
 			score *= 2
 		}
@@ -240,14 +241,15 @@
 	return best, fresh
 }
 
-// luck is what a score is divided by. A router that has hardly any trips out would find the nodes with the
-// highest weight / (1 + trips) the same each time as all others do, which know no more than the news do: they
-// would crowd them till the next news. So it draws lots, by which a node is chosen in proportion to that.
-func (r *Router) luck() float64 {
+// pull is the design's weight / (1 + trips). A router with hardly any trips out knows what nodes showed a while
+// ago, as all others do: they would crowd the emptiest till the next news. So it draws lots in proportion to
+// that, and reckons with trips that no news show yet. It harms where nodes differ much in speed.
+func (r *Router) pull(m *node, now int64) float64 {
+	weight, crowd := m.weight*r.warmth(m, now), r.crowd(m, now)
 	if !r.sparse() {
-		return 1
+		return weight / (1 + crowd)
 	}
-	return -math.Log(1 - r.lot())
+	return weight / (unseen + crowd) / -math.Log(1-r.lot())
 }
 
 // lot is drawn from above 0 to below 1.
@@ -260,6 +262,8 @@
 // router has too few trips to learn that, one learnt from all nodes. A second trip takes only spare room.
 // A client that waits for less than the contract time gets room by what it waits: other trips would take
 // too long for it, and its repeats would crowd out patient ones. Harms no one who waits as the contract says.
+// Where all routers go by the same news the room ends by lot, up to twice its size: else all stop sending at
+// once, and all begin again at the next news.
 func (r *Router) fits(m *node, j *job, part float64, now int64) bool {
 	t, room := &r.tariffs[j.tariff], m.room.size
 	if r.sparse() {
@@ -273,7 +277,12 @@
 	if t.Need < Fresh { // all of it for the tariff that earns most for its work, half at the least
 		room *= spare + (1-spare)*min(1, t.Earnings/t.usual/r.dearest)
 	}
-	return r.crowd(m, now) < room && min(j.lot, 1-quick) < room && r.bears(m, j, now)
+	if min(j.lot, 1-quick) >= room {
+		return false
+	} else if r.sparse() {
+		room *= 2 * math.Sqrt(1-j.lot)
+	}
+	return r.crowd(m, now) < room && r.bears(m, j, now)
 }
 
 // crowd is how many trips a node is thought to hold: this router's own, and where those tell little also
