SIGHUP takes up changed settings in the running program, there and back

Need: a deployment changes its shape while its routers serve; a reload moved discovery and terms only, all else waited for a restart without a word.

Change: the module takes a contract by Heed, at any time; jobs in hand keep the tariffs that they came with, which keep their numbers for good. The desk hands queries one Deal (contract, terms, numbers) from their reading to their end and swaps it under its lock. service/reload.go proves a changed file whole (schema, places of faults, terms against the new settings), takes it up at one moment, opens or closes the routers' words, and names what only a restart changes. Discovery moves whatever becomes of the settings.

With tariffs' numbers given to others, the at-most-once job in hand is bounced and the test fails.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -45,12 +45,23 @@
 
 // Open starts a router.
 func Open(c *Contract, seed uint64, out Outside, now int64) *Router {
-	r := &Router{out: out, chance: chance(seed&0x7fffffffffff | 1<<32 | 1), maxTrips: c.MaxTrips,
-		second: c.SecondTrips, probes: c.Probes, check: c.NodesCheck, asking: c.ListOnAsking, me: c.Me,
-		asideFor: 4 * c.ConnectTimeout, grace: c.DrainGrace / 2, coldFor: c.ColdFor,
-		span: max(c.FallSpan, 1), startShare: c.StartShare, perSpan: coldPart * c.FallMultiple,
-		away: c.LongestAbsence, leastBackoff: c.AskEvery / 20, goneMayServe: c.GoneMayServe, peers: c.RoutersTalk,
-		keep: c.KeepAlive, zone: int32(c.Zone), marks: map[uint32][]int32{}}
+	r := &Router{out: out, chance: chance(seed&0x7fffffffffff | 1<<32 | 1), shared: opened,
+		marks: map[uint32][]int32{}}
+	r.Heed(c)
+	r.listen(now)
+	r.ListMoved(now)
+	out.Alarm(r.sweep)
+	return r
+}
+
+// Heed has the jobs to come keep to a contract, and tells by which numbers Take knows its tariffs then. Jobs
+// in hand keep the tariffs that they came with; what is known of nodes stays.
+func (r *Router) Heed(c *Contract) (numbers []int) {
+	r.maxTrips, r.second, r.probes, r.check = c.MaxTrips, c.SecondTrips, c.Probes, c.NodesCheck
+	r.asideFor, r.grace, r.coldFor, r.span = 4*c.ConnectTimeout, c.DrainGrace/2, c.ColdFor, max(c.FallSpan, 1)
+	r.startShare, r.perSpan, r.away = c.StartShare, coldPart*c.FallMultiple, c.LongestAbsence
+	r.leastBackoff, r.goneMayServe, r.peers = c.AskEvery/20, c.GoneMayServe, c.RoutersTalk
+	r.asking, r.me, r.keep, r.zone = c.ListOnAsking, c.Me, c.KeepAlive, int32(c.Zone)
 	shortest, best, bound := int64(math.MaxInt64), 0.0, int64(math.MaxInt64)
 	for _, t := range c.Tariffs {
 		switch shortest = min(shortest, t.ContractTime); {
@@ -69,17 +80,14 @@
 		if t.LateShare == 0 && t.Repeat == Reissuable && rest > 0 && rest <= r.away {
 			own.farewell = r.away
 		}
-		r.tariffs = append(r.tariffs, own)
+		numbers = append(numbers, r.enter(own, len(numbers) == 0))
 	}
 	r.sweep = max(c.Tick, shortest/sweeps)
 	if r.useful = bound; bound == math.MaxInt64 {
 		r.useful = 2 * shortest
 	}
-	r.refresh, r.period, r.fade, r.shared = r.useful*4/5, shortest/2, 4*shortest, opened
-	r.listen(now)
-	r.ListMoved(now)
-	out.Alarm(r.sweep)
-	return r
+	r.refresh, r.period, r.fade = r.useful*4/5, shortest/2, 4*shortest
+	return numbers
 }
 
 // ListMoved has the list asked for anew, at a random moment soon.
@@ -237,9 +245,9 @@
 	return best, fresh
 }
 
-// pull is the design's weight / (1 + trips). A router with hardly any trips out knows what nodes showed a while
-// ago, as all others do: they would crowd the emptiest till the next news. So it draws lots in proportion to
-// that, and reckons with trips that no news show yet. It harms where nodes differ much in speed.
+// pull is the design's weight / (1 + trips). A router with hardly any trips out knows what nodes showed once,
+// as all others do: they would crowd the emptiest till the next news. So it draws lots in proportion to that,
+// and reckons with trips that no news show yet. It harms where nodes differ much in speed.
 func (r *Router) pull(m *node, now int64) float64 {
 	weight, crowd := m.weight*r.warmth(m, now), r.crowd(m, now)
 	if !r.sparse() {
@@ -429,7 +437,9 @@
 	if m := &r.nodes[n]; m.group >= 0 && r.warmth(m, now) < 1 && r.open(m) {
 		share, want, least = r.ownShare(m, now), r.borne*m.weight, math.MaxFloat64
 		for i := range r.tariffs {
-			least = min(least, r.tariffs[i].usual)
+			if t := &r.tariffs[i]; !t.past {
+				least = min(least, t.usual)
+			}
 		}
 	}
 	return share, max(want, least), least
@@ -776,7 +786,7 @@
 	sum, warm := 0.0, 0.0
 	r.dearest = 0
 	for i := range r.tariffs {
-		if t := &r.tariffs[i]; t.Need < Fresh {
+		if t := &r.tariffs[i]; !t.past && t.Need < Fresh {
 			r.dearest = max(r.dearest, t.Earnings/t.usual)
 		}
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -100,6 +100,7 @@
 	usual    float64 // mean time of a trip
 	share    float64 // of a primary's room that it may fill
 	farewell int64   // for how long clients are asked away whose job can earn nothing any more; 0: they are not
+	past     bool    // no job to come has it
 }
 
 type group struct {
@@ -127,6 +128,25 @@
 	}
 }
 
+// enter gives a tariff its number: the one that it had under an earlier contract, with what was learnt then, else a new
+// one, since jobs in hand may have any other. The first of a contract makes all those before past.
+func (r *Router) enter(t tariff, first bool) int {
+	for i := range r.tariffs {
+		r.tariffs[i].past = r.tariffs[i].past || first
+	}
+	for i := range r.tariffs {
+		if k := &r.tariffs[i]; k.past && k.Tariff == t.Tariff {
+			k.share, k.farewell, k.past = t.share, t.farewell, false
+			return i
+		}
+	}
+	r.tariffs = append(r.tariffs, t)
+	return len(r.tariffs) - 1
+}
+
+// Tariffs is how many kinds of tariffs the router has had.
+func (r *Router) Tariffs() int { return len(r.tariffs) }
+
 func (r *Router) group(g int) *group {
 	for len(r.groups) <= g {
 		r.groups = append(r.groups, group{})
--- /dev/null
+++ b/cmd/sedgestream/switch_test.go
@@ -0,0 +1,183 @@
+package main
+
+import (
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"sedgestream/internal/standin"
+)
+
+// The shapes between which the test moves: the present one, and one without second copies, checks at nodes and words between
+// routers, with other times, more trips, a class more, and the classes in another order.
+var calm = strings.ReplaceAll(brisk, `"aimUs":80000`, `"aimUs":400000`)
+
+var shapes = []string{
+	calm,
+	strings.NewReplacer(`{"name":"view","aimUs":400000`, `{"name":"glance","aimUs":60000,"deadlineUs":900000,"repeat":"pure","worth":1.0},{"name":"view","aimUs":500000`,
+		`"name":"order","aimUs":400000,"deadlineUs":2000000`, `"name":"order","aimUs":450000,"deadlineUs":1900000`,
+		`"consistency":["eventual",`, `"consistency":["eventual","eventual",`, `"secondCopies":true`, `"secondCopies":false`, `"sendCap":4`, `"sendCap":9`,
+		`"await"`, `"off"`, `"peers":true`, `"peers":false,"retryAfter":true,"maxRetryAfterUs":2000000`, `"me":0`, `"me":0,"locality":"z"`).Replace(calm),
+}
+
+// A move to another shape and back, many times under load, with failing, silent and slow nodes and jobs of each kind in hand:
+// each job has one answer, none runs twice that must not, each runs on one side of a switch, and all switches are taken up.
+func TestSwitchUnderLoad(t *testing.T) {
+	nodes := []*standin.Node{standin.NewNode(t, "source"), standin.NewNode(t, "copy"), standin.NewNode(t, "copy")}
+	troubles := []standin.Trouble{{Part: 0.04, State: "XX000"}, {Part: 0.002, Delay: -1}, {Part: 0.1, Delay: 60 * time.Millisecond},
+		{Part: 0.02, Close: true}}
+	for i, n := range nodes {
+		n.Troubled(2*time.Millisecond, troubles[:len(troubles)-1+min(i, 1)]...) // a primary whose links break is cold, and takes little
+	}
+	f := newFleet(t, nodes...)
+	f.Contract = shapes[0]
+	f.Start(os.Args[0])
+	var asked, answered, done atomic.Int64
+	var clients sync.WaitGroup
+	var mu sync.Mutex
+	said := map[string]string{} // by the job's id
+	stop := make(chan struct{})
+	for i := range 24 {
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			c := f.Open("")
+			c.Answer()
+			for n := i; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				query := standin.View(400)
+				if k := n % 3; k > 0 {
+					query = standin.Change([]string{"", "order", "once"}[k], 400)
+				}
+				asked.Add(1)
+				c.Ask(query)
+				a := c.Answer()
+				if strings.Contains(a, "EOF") {
+					t.Errorf("a connection ended: %s", a)
+					return
+				}
+				_, id, _ := strings.Cut(query, "id=")
+				mu.Lock()
+				said[id[:16]] = a
+				mu.Unlock()
+				if answered.Add(1); strings.HasPrefix(a, "from ") {
+					done.Add(1)
+				}
+			}
+		}()
+	}
+	const switches = 40
+	for k := 1; k <= switches || done.Load() < 1000 && k < 10*switches; k++ {
+		f.Contract = shapes[k%2]
+		f.Configure()
+		f.Cmd.Process.Signal(syscall.SIGHUP)
+		standin.Until(t, "the settings to be taken up", func() bool { return strings.Count(f.Lines(), `"msg":"settings"`) == k })
+		time.Sleep(50 * time.Millisecond)
+	}
+	close(stop)
+	clients.Wait()
+	if asked.Load() != answered.Load() || done.Load() < 300 {
+		t.Errorf("%d jobs, %d answers, %d of them values", asked.Load(), answered.Load(), done.Load())
+	}
+	trips, tariff := map[string][]standin.Ran{}, map[string]string{}
+	for _, n := range nodes {
+		for _, r := range n.Ledger() {
+			trips[r.ID] = append(trips[r.ID], r)
+		}
+		for _, q := range n.Got() {
+			_, id, _ := strings.Cut(q, "id=")
+			id, rest, _ := strings.Cut(id, ",c=")
+			tariff[id], _, _ = strings.Cut(rest, ",")
+		}
+	}
+	kinds := map[string]int{}
+	for id, ran := range trips {
+		kinds[tariff[id]]++
+		first, last := ran[0].At, ran[0].At
+		for _, r := range ran {
+			first, last = time.Unix(0, min(first.UnixNano(), r.At.UnixNano())), time.Unix(0, max(last.UnixNano(), r.At.UnixNano()))
+		}
+		switch {
+		case tariff[id] == "once" && len(ran) > 1:
+			t.Errorf("job %s, at most once, ran %d times", id, len(ran))
+		case tariff[id] == "once" && said[id] == "53300":
+			t.Errorf("job %s, at most once, ran and was bounced", id)
+		case tariff[id] == "order" && last.Sub(first) > 1700*time.Millisecond: // half a second for a machine that is busy
+			t.Errorf("order %s ran again after %v", id, last.Sub(first))
+		}
+	}
+	if min(kinds["view"], kinds["order"], kinds["once"]) < 60 {
+		t.Errorf("too little was tested: %v", kinds)
+	}
+}
+
+// Jobs in hand keep the class that they came with, whatever becomes of it; a class that has gone is unknown to jobs that come.
+// What only a restart changes is named and keeps its value, a wrong file changes nothing and is told with its place, and
+// discovery moves all the same.
+func TestSwitchAtTheDoor(t *testing.T) {
+	primary, replica := standin.Pair(t)
+	let := make(chan struct{})
+	primary.Job = func(b *standin.Backend, _ standin.Conn, _ string) { <-let; primary.Row(b, "at last") }
+	f, moved := newFleet(t, primary, replica), newFleet(t, primary, replica)
+	f.Start(os.Args[0])
+	<-f.Watches
+	held := f.Open(standin.Change("once", 20000))
+	standin.Until(t, "the job at the primary", func() bool { return len(primary.Got()) == 1 })
+	// The class that is held may now run again, under another name another must not.
+	f.Contract = strings.NewReplacer(`"name":"once"`, `"name":"twice"`, `"repeat":"side_effect"`, `"repeat":"pure"`).Replace(standin.Contract)
+	reload := func(words string) {
+		t.Helper()
+		before := strings.Count(f.Lines(), words)
+		f.Cmd.Process.Signal(syscall.SIGHUP)
+		standin.Until(t, words, func() bool { return strings.Count(f.Lines(), words) == before+1 })
+	}
+	f.Configure()
+	reload(`"changed":["classes"]`)
+	c := f.Open(standin.Change("once", 2000))
+	c.Expect("22023")
+	c.Ask(standin.View(2000))
+	c.Expect("from copy")
+	primary.Die() // the job may have run, and its class was at most once
+	if a := held.Answer(); a == "53300" || strings.HasPrefix(a, "from") || strings.Contains(a, "EOF") {
+		t.Errorf("the job in hand was answered by %q", a)
+	}
+	primary.Revive()
+	close(let)
+	if n := len(primary.Got()); n != 1 {
+		t.Errorf("the job in hand ran %d times", n)
+	}
+	standing := f.Contract
+	for _, wrong := range [][2]string{{`"sendCap":3`, `"sendCap":0`}, {`"repeat":"pure","worth":3.0`, `"repeat":"pure","worth":"much"`},
+		{`"eventual"`, `"eventually"`}, {`"name":"twice"`, `"name":"view"`}} {
+		f.Contract = strings.Replace(standing, wrong[0], wrong[1], 1)
+		f.Configure()
+		before := strings.Count(f.Lines(), " stands") + strings.Count(f.Lines(), " stand\"")
+		f.Cmd.Process.Signal(syscall.SIGHUP)
+		standin.Until(t, "the wrong settings to be refused", func() bool {
+			return strings.Count(f.Lines(), " stands")+strings.Count(f.Lines(), " stand\"") > before
+		})
+	}
+	if !f.Logged(f.Path + ":") {
+		t.Error("no place of a fault in the log")
+	}
+	f.Contract, f.Limits, f.Name = standin.Contract, `{"cores":1,"memory_mb":256,"sockets":1024}`, "n9"
+	f.List.Addr = moved.List.Addr
+	f.Configure()
+	reload(`"members":["name","limits"]`)
+	if at := <-moved.Watches; at != "whole" {
+		t.Errorf("the new discovery was asked for %s", at)
+	}
+	standin.Until(t, "the way back", func() bool { return strings.Count(f.Lines(), `"msg":"settings"`) == 2 })
+	standin.Until(t, "orders to be served again", func() bool {
+		c.Ask(standin.Change("order", 2000))
+		return c.Answer() == "at last"
+	})
+}
--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -12,7 +12,7 @@
 type Contract struct {
 	balance.Contract
 	Names map[string]int // of the tariffs
-	Zones map[string]int // the router's own is the first, if it is said
+	Home  string         // the router's own zone; "" if it is not said
 	Zero  int64          // of positions on the simulator's wire
 	Place bool           // reports give the node's position
 	Role  bool           // and whether it is the primary
@@ -23,7 +23,7 @@
 func Read(f *fastjson.Value) *Contract {
 	limits, rules, kind := field.Object(f, "limits"), field.Object(f, "rules"), field.Object(f, "specifics")
 	checks := field.Str(kind, "serverChecks", false)
-	c := &Contract{Names: map[string]int{}, Zones: map[string]int{}, Zero: us(kind, "positionZeroUs", false),
+	c := &Contract{Names: map[string]int{}, Home: field.Str(f, "locality", false), Zero: us(kind, "positionZeroUs", false),
 		Place: field.Str(kind, "reportX0", false) != "", Role: field.Str(kind, "reportX1", false) != ""}
 	c.Contract = balance.Contract{
 		Tick:           us(f, "tickUs", false),
@@ -47,9 +47,6 @@
 		Me:              int(field.Whole(f, "me", false)),
 		SessionsCarried: field.Str(kind, "tokenMode", false) == "brought",
 	}
-	if zone := field.Str(f, "locality", false); zone != "" {
-		c.Zone = Index(c.Zones, zone)
-	}
 	if field.Flag(limits, "retryAfter") {
 		c.LongestAbsence = us(limits, "maxRetryAfterUs", false)
 	}
@@ -82,6 +79,13 @@
 	return c
 }
 
+// Settle numbers the router's own zone among those of nodes.
+func (c *Contract) Settle(zones map[string]int) {
+	if c.Zone = -1; c.Home != "" {
+		c.Zone = Index(zones, c.Home)
+	}
+}
+
 // us is a span in microseconds, as nanoseconds.
 func us(v *fastjson.Value, key string, must bool) int64 { return field.Whole(v, key, must) * 1000 }
 
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"hash/crc32"
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,9 +51,20 @@
 // wordsKept bounds the words that wait for the network: the newest of all say what older ones did.
 const wordsKept = 16
 
+// Deal is what jobs keep to from their coming to their end: a contract, and terms if there are any. It doesn't change.
+type Deal struct {
+	Contract *contract.Contract
+	book     *terms.Book
+	numbers  []int // of its tariffs, in the module
+}
+
+// mostTariffs bounds how many kinds of tariffs one run may come to have by ever new contracts: each takes some bytes for good.
+const mostTariffs = 1 << 12
+
 // Ask is what a job wants.
 type Ask struct {
-	Tariff, Group int
+	Deal          *Deal // nil: that of now
+	Tariff, Group int   // the tariff as the deal's contract has it
 	Wait          int64 // for which its client waits yet
 	After         int64 // position that it must see, or 0
 
@@ -70,7 +80,7 @@
 	start time.Time
 	unix  int64
 	nodes Nodes
-	book  atomic.Pointer[terms.Book] // of the jobs to come; nil: the contract alone holds
+	deal  atomic.Pointer[Deal] // of the jobs to come
 
 	mu      sync.Mutex
 	router  *balance.Router
@@ -115,19 +125,34 @@
 func Open(c *contract.Contract, seed uint64, nodes Nodes, log *zap.Logger) *Desk {
 	d := &Desk{log: log, start: time.Now(), nodes: nodes, ids: map[string]int{}, groups: map[int64]int{},
 		zones: map[string]int{}, Bell: make(chan struct{}, 1)}
-	maps.Copy(d.zones, c.Zones)
 	d.unix = d.start.UnixNano()
-	// A job has at most so many orders at a time: a trip, its revoking and its ending for each leg, and the
-	// bounce or termination, the client's leaving and the vacating of its place.
-	orders := 3*c.MaxTrips + 4
-	d.boxes.New = func() any { return make(chan func(), orders) }
 	d.alarm = time.AfterFunc(time.Hour, d.wake)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	c.Settle(d.zones)
 	d.router = balance.Open(&c.Contract, seed, d, d.Now())
+	d.deal.Store(&Deal{Contract: c, numbers: d.router.Heed(&c.Contract)})
 	return d
 }
 
+// Deal is that of the jobs to come.
+func (d *Desk) Deal() *Deal { return d.deal.Load() }
+
+// Renew has the jobs to come keep to another contract and its terms, all at one moment; those in hand notice nothing.
+func (d *Desk) Renew(c *contract.Contract, b *terms.Book) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if have := d.router.Tariffs(); have+len(c.Tariffs) > mostTariffs {
+		return fmt.Errorf("this run has had %d kinds of classes; more take a restart", have)
+	}
+	if b != nil {
+		b.Inherit(d.deal.Load().book)
+	}
+	c.Settle(d.zones)
+	d.deal.Store(&Deal{Contract: c, book: b, numbers: d.router.Heed(&c.Contract)})
+	return nil
+}
+
 // Now is the clock: Unix nanoseconds at the start, and only forward from there.
 func (d *Desk) Now() int64 { return d.unix + int64(time.Since(d.start)) }
 
@@ -157,10 +182,13 @@
 // Terms has the jobs to come keep to a book, or to the contract alone if it is nil; those in hand keep to the terms that
 // they came with. What the book before has learnt goes on in routes of the same name.
 func (d *Desk) Terms(b *terms.Book) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	was := d.deal.Load()
 	if b != nil {
-		b.Inherit(d.book.Load())
+		b.Inherit(was.book)
 	}
-	d.book.Store(b)
+	d.deal.Store(&Deal{Contract: was.Contract, book: b, numbers: was.numbers})
 }
 
 // Groups are the names of the groups that the list has named.
@@ -175,8 +203,8 @@
 }
 
 // route is the job's, or nil.
-func (d *Desk) route(a *Ask) *terms.Route {
-	b := d.book.Load()
+func (a *Ask) route() *terms.Route {
+	b := a.Deal.book
 	if b == nil {
 		return nil
 	}
@@ -189,7 +217,10 @@
 
 // Take brings a job in. Its client waits from now on.
 func (d *Desk) Take(task Task, a Ask) *Ticket {
-	route := d.route(&a)
+	if a.Deal == nil {
+		a.Deal = d.deal.Load()
+	}
+	route := a.route()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.Now()
@@ -198,7 +229,13 @@
 		d.seats = append(d.seats, seat{})
 	}
 	d.serials++
-	box := d.boxes.Get().(chan func())
+	// A job has at most so many orders at a time: a trip, its revoking and its ending for each leg, and the
+	// bounce or termination, the client's leaving and the vacating of its place. The module may know a later contract.
+	orders := 3*max(a.Deal.Contract.MaxTrips, d.deal.Load().Contract.MaxTrips) + 4
+	box, _ := d.boxes.Get().(chan func())
+	if cap(box) < orders {
+		box = make(chan func(), orders)
+	}
 	d.seats[p] = seat{task: task, serial: d.serials, box: box, stay: terms.Stay{Wait: a.Wait}}
 	s := &d.seats[p]
 	if route != nil {
@@ -209,7 +246,7 @@
 	if a.After > 0 {
 		wrote = max(1, now-a.After)
 	}
-	d.router.Take(now, p, a.Tariff, a.Group, s.stay.Wait, wrote, &s.stay.Terms)
+	d.router.Take(now, p, a.Deal.numbers[a.Tariff], a.Group, s.stay.Wait, wrote, &s.stay.Terms)
 	return &Ticket{d, p, d.serials, box}
 }
 
--- a/internal/intake/client.go
+++ b/internal/intake/client.go
@@ -292,7 +292,9 @@
 	if err != nil {
 		return c.wrong(pg.StrangeForm, err.Error())
 	}
-	t, ok := c.intake.contract.Names[s.Tariff]
+	deal := c.intake.desk.Deal() // one contract judges a query from here on, whatever is loaded meanwhile
+	contract := deal.Contract
+	t, ok := contract.Names[s.Tariff]
 	if !ok {
 		return c.wrong(pg.StrangeValue, "unknown class in the comment")
 	}
@@ -300,10 +302,10 @@
 	if !ok {
 		return c.wrong(pg.StrangeValue, "unknown cluster in the comment")
 	}
-	if terms := &c.intake.contract.Tariffs[t]; terms.Repeat == balance.Numbered && !s.Marked {
+	if terms := &contract.Tariffs[t]; terms.Repeat == balance.Numbered && !s.Marked {
 		return c.wrong(pg.StrangeValue, "this class wants k in the comment")
 	}
-	if s.Write != (c.intake.contract.Tariffs[t].Need == balance.Write) {
+	if s.Write != (contract.Tariffs[t].Need == balance.Write) {
 		return c.wrong(pg.StrangeValue, "this class wants the other kind of statement")
 	}
 	if c.spare && !c.intake.hasRoom() {
@@ -317,7 +319,7 @@
 	// No client waits for longer than the settings say: guards against times that would hold a place for days. What
 	// the query has waited here counts against its client's time.
 	wait := s.Wait * int64(time.Millisecond)
-	if most := c.intake.contract.Waits[t]; most > 0 {
+	if most := contract.Waits[t]; most > 0 {
 		wait = min(wait, most)
 	}
 	wait -= c.intake.desk.Now() - c.readAt
@@ -325,7 +327,7 @@
 	if c.take(turn) {
 		c.intake.changed()
 	}
-	turn.ticket = job.Begin(c.intake.desk, desk.Ask{Tariff: t, Group: g, Wait: wait,
+	turn.ticket = job.Begin(c.intake.desk, desk.Ask{Deal: deal, Tariff: t, Group: g, Wait: wait,
 		After: s.After * int64(time.Millisecond), GroupName: s.Group, Key: s.Key, Write: s.Write, Again: s.Again}, turn, trip.Cargo{Nodes: c.intake.nodes, Statement: s})
 	go c.work(turn.ticket)
 	return nil
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -11,7 +11,6 @@
 
 	"go.uber.org/zap"
 
-	"sedgestream/internal/contract"
 	"sedgestream/internal/desk"
 	"sedgestream/internal/pg"
 	"sedgestream/internal/ring"
@@ -22,11 +21,9 @@
 type Intake struct {
 	desk     *desk.Desk
 	nodes    *trip.Nodes
-	contract *contract.Contract
 	log      *zap.Logger
 	listener net.Listener
 	budget   *ring.Budget
-	pause    time.Duration // when descriptors are out
 
 	wanting atomic.Bool // a new connection waits for one to end
 
@@ -61,9 +58,9 @@
 }
 
 // New serves what comes to the listener, once Serve is called.
-func New(l net.Listener, c *contract.Contract, d *desk.Desk, n *trip.Nodes, limits Limits, log *zap.Logger) *Intake {
-	t := &Intake{desk: d, nodes: n, contract: c, log: log, listener: l, budget: limits.Budget,
-		clients: map[*client]struct{}{}, ids: map[string]struct{}{}, pause: time.Duration(c.Tick)}
+func New(l net.Listener, d *desk.Desk, n *trip.Nodes, limits Limits, log *zap.Logger) *Intake {
+	t := &Intake{desk: d, nodes: n, log: log, listener: l, budget: limits.Budget,
+		clients: map[*client]struct{}{}, ids: map[string]struct{}{}}
 	t.spare = max(1, int(spareShare*float64(limits.Connections)))
 	t.most = max(1, limits.Connections-t.spare)
 	t.held = max(1, int((1-spareShare)*float64(limits.Askers)))
@@ -88,7 +85,7 @@
 			if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
 				t.makeRoom()
 			}
-			time.Sleep(t.pause)
+			time.Sleep(time.Duration(t.desk.Deal().Contract.Tick)) // descriptors are out
 			continue
 		}
 		c := newClient(t, sock)
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fastjson"
@@ -76,7 +77,7 @@
 
 // Lister asks discovery, at one address at a time.
 type Lister struct {
-	connect time.Duration // for a connection to come up
+	connect atomic.Int64 // nanoseconds for a connection to come up
 	desk    *desk.Desk
 	log     *zap.Logger
 
@@ -95,9 +96,14 @@
 // New tells the list that the router had before it started.
 func New(address string, known List, connect time.Duration, d *desk.Desk, log *zap.Logger) *Lister {
 	d.List(known.Version, true, known.Rows)
-	return &Lister{connect: connect, desk: d, log: log, at: &place{address: address, version: known.Version}}
+	l := &Lister{desk: d, log: log, at: &place{address: address, version: known.Version}}
+	l.Heed(connect)
+	return l
 }
 
+// Heed has calls wait for so long from now on until they are connected.
+func (l *Lister) Heed(connect time.Duration) { l.connect.Store(int64(connect)) }
+
 // Move has the list asked for at another address from now on. What is still on the way from the old one is dropped.
 func (l *Lister) Move(address string) {
 	l.mu.Lock()
@@ -183,7 +189,7 @@
 
 // follow sends one request and takes in each line of its answer.
 func (l *Lister) follow(at *place, target string, watch bool) error {
-	sock, err := net.DialTimeout("tcp", at.address, l.connect)
+	sock, err := net.DialTimeout("tcp", at.address, time.Duration(l.connect.Load()))
 	if err != nil {
 		return err
 	}
@@ -193,7 +199,7 @@
 	}
 	out := ring.New(ring.First, ring.First, nil)
 	fmt.Fprintf(out, "GET %s HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n", target, at.address)
-	sock.SetWriteDeadline(time.Now().Add(l.connect))
+	sock.SetWriteDeadline(time.Now().Add(time.Duration(l.connect.Load())))
 	if err := out.Flush(sock); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/service/reload.go
@@ -0,0 +1,130 @@
+package service
+
+import (
+	"fmt"
+	"os"
+	"reflect"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// reload reads the configuration and the terms again. Discovery's address, the settings and the terms are taken up by the
+// running router; jobs in hand keep what they came with. A file that is missing, torn or wrong changes nothing, and what
+// only a restart can change keeps its value and is named.
+func (s *Service) reload() {
+	was := s.phase
+	s.enter(Reloading)
+	p, err := ReadPosting(os.Getenv)
+	if err == nil {
+		err = s.take(p)
+	} else if faults, _, e := Check(os.Getenv("ROUTER_CONFIG"), os.Getenv); e == nil && len(faults) > 0 {
+		err = faults // with their places
+	}
+	if err != nil {
+		s.log.Warn("the configuration is wrong, the one before stands", zap.Error(err))
+		// The terms may have changed all the same, and hold for the settings that stand.
+		s.renewTerms()
+	}
+	s.enter(was, zap.String("discovery", s.posting.Discovery))
+}
+
+// take takes up what a posting says otherwise than the one before. Discovery moves whatever becomes of the settings: guards
+// against a router that loses its list over a setting.
+func (s *Service) take(p *Posting) error {
+	if fixed := s.posting.waiting(p); len(fixed) > 0 {
+		s.log.Warn("members that only a restart changes keep their values", zap.Strings("members", fixed))
+	}
+	s.posting.Discovery = p.Discovery
+	s.list.Move(p.Discovery)
+	p.Contract.Me, p.Contract.Zone = s.posting.Contract.Me, s.posting.Contract.Zone
+	if reflect.DeepEqual(p.Contract, s.posting.Contract) {
+		s.renewTerms()
+		return nil
+	}
+	if err := s.renew(p); err != nil {
+		s.log.Warn("the settings are wrong, those before stand", zap.Error(err))
+		s.renewTerms()
+	}
+	return nil
+}
+
+// renew has the jobs to come keep to a posting's settings, all of them or none.
+func (s *Service) renew(p *Posting) error {
+	begun := time.Now()
+	faults, _, err := Check(os.Getenv("ROUTER_CONFIG"), os.Getenv)
+	if err == nil && len(faults) > 0 {
+		err = faults
+	}
+	if err != nil {
+		return err
+	}
+	book, err := s.readTerms(p, s.desk.Groups())
+	if err != nil {
+		return fmt.Errorf("the terms don't fit them:\n%w", err)
+	}
+	// Words are to be heard before any job counts on them.
+	if talks := s.peers.Load() != nil; p.Contract.RoutersTalk && !talks {
+		if err := s.talk(true); err != nil {
+			return err
+		}
+	}
+	if err := s.desk.Renew(p.Contract, book); err != nil {
+		s.talk(s.posting.Contract.RoutersTalk)
+		return err
+	}
+	s.nodes.Heed(&p.Contract.Contract)
+	s.list.Heed(time.Duration(p.Contract.ConnectTimeout))
+	changed := s.posting.differing(p)
+	s.posting.Contract, s.posting.Settings = p.Contract, p.Settings
+	s.talk(p.Contract.RoutersTalk)
+	s.log.Info("settings", zap.Strings("changed", changed), zap.Int("classes", len(p.Contract.Tariffs)),
+		zap.Int("in hand", s.desk.InHand()), zap.Duration("took", time.Since(begun)))
+	return nil
+}
+
+// renewTerms has the jobs to come keep to the file of terms as it is now, unless it is wrong.
+func (s *Service) renewTerms() {
+	if s.files.Terms == "" {
+		return
+	}
+	book, err := s.readTerms(s.posting, s.desk.Groups())
+	if err != nil {
+		s.log.Warn("the terms are wrong, those before stand", zap.Error(err))
+		return
+	}
+	s.desk.Terms(book)
+}
+
+// differing names the members of the settings that are not what they were.
+func (p *Posting) differing(q *Posting) (names []string) {
+	for name := range q.Settings {
+		if p.Settings[name] != q.Settings[name] {
+			names = append(names, name)
+		}
+	}
+	for name := range p.Settings {
+		if _, there := q.Settings[name]; !there {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// waiting names the members that differ and take a restart. The list that the file has is none of them: discovery's counts.
+func (p *Posting) waiting(q *Posting) (names []string) {
+	for _, m := range []struct {
+		name string
+		same bool
+	}{{"name", p.Name == q.Name}, {"listen", p.Listen == q.Listen}, {"seed", p.Seed == q.Seed}, {"peer_listen", p.PeerListen == q.PeerListen},
+		{"peers", slices.Equal(p.Peers, q.Peers)}, {"peers_all", p.PeersAll == q.PeersAll},
+		{"limits", p.Cores == q.Cores && p.Memory == q.Memory && p.Descriptors == q.Descriptors},
+		{"settings.me", p.Contract.Me == q.Contract.Me}} {
+		if !m.same {
+			names = append(names, m.name)
+		}
+	}
+	return names
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -9,10 +9,12 @@
 	"runtime"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
+	"sedgestream/internal/decide/terms"
 	"sedgestream/internal/desk"
 	"sedgestream/internal/forward"
 	"sedgestream/internal/intake"
@@ -66,8 +68,8 @@
 	nodes   *trip.Nodes
 	intake  *intake.Intake
 	list    *list.Lister
-	links   *forward.Links // to planners; nil without a tier
-	peers   *peer.Peers
+	links   *forward.Links             // to planners; nil without a tier
+	peers   atomic.Pointer[peer.Peers] // nil while routers don't talk
 	stop    chan struct{}
 	tasks   sync.WaitGroup
 }
@@ -101,31 +103,13 @@
 	}
 }
 
-// reload reads the configuration again. Only where discovery is can change while the router runs, and the terms of the
-// jobs to come; jobs in hand notice nothing. A file that is missing, torn or wrong changes nothing either.
-func (s *Service) reload() {
-	was := s.phase
-	s.enter(Reloading)
-	p, err := ReadPosting(os.Getenv)
-	if err != nil {
-		s.log.Warn("the configuration is wrong, the one before stands", zap.Error(err))
-	} else {
-		s.posting.Discovery = p.Discovery
-		s.list.Move(p.Discovery)
-	}
-	if err := s.readTerms(s.desk.Groups()); err != nil {
-		s.log.Warn("the terms are wrong, those before stand", zap.Error(err))
-	}
-	s.enter(was, zap.String("discovery", s.posting.Discovery))
-}
-
-// readTerms has the jobs to come keep to the file of terms, if there is one and nothing is wrong with it. Groups that the
-// list has named since the start count beside those that were known then.
-func (s *Service) readTerms(groups map[int64]bool) error {
+// readTerms reads the file of terms for the jobs of a posting, if there is one: no book, and no error, where there is none.
+// Groups that the list has named since the start count beside those that were known then.
+func (s *Service) readTerms(p *Posting, groups map[int64]bool) (*terms.Book, error) {
 	if s.files.Terms == "" {
-		return nil
+		return nil, nil
 	}
-	begun, g := time.Now(), s.posting.Ground()
+	begun, g := time.Now(), p.Ground()
 	for name := range groups {
 		if g.Groups != nil {
 			g.Groups[name] = true
@@ -133,11 +117,10 @@
 	}
 	book, err := termsfile.Load(s.files.Terms, g)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	s.desk.Terms(book)
 	s.log.Info("terms", zap.String("file", s.files.Terms), zap.Int("routes", book.Len()), zap.Duration("took", time.Since(begun)))
-	return nil
+	return book, nil
 }
 
 // Run serves until one of the stops has come and all that was taken has been answered.
@@ -171,11 +154,8 @@
 	shared := max(2, p.Descriptors-ownDescriptors)
 	clients := max(1, int(clientsShare*float64(shared)))
 
-	// On sockets the list always has to be asked for.
-	terms := *c
-	terms.ListOnAsking = true
-	s.nodes = trip.New(&terms.Contract, trip.Limits{Connections: shared - clients, Budget: ring.NewBudget(values)}, s.log)
-	s.desk = desk.Open(&terms, p.Seed, s.nodes, s.log)
+	s.nodes = trip.New(&c.Contract, trip.Limits{Connections: shared - clients, Budget: ring.NewBudget(values)}, s.log)
+	s.desk = desk.Open(c, p.Seed, s.nodes, s.log)
 	s.nodes.Desk = s.desk
 	if s.files.Tier != "" {
 		tier, err := tierfile.Load(s.files.Tier)
@@ -184,21 +164,20 @@
 		}
 		s.links = forward.New(forward.Post{Name: p.Name, Planners: tier.Planners, Term: tier.Term, Period: tier.Period}, s.desk, s.log)
 	}
-	s.list = list.New(p.Discovery, p.Known, time.Duration(terms.ConnectTimeout), s.desk, s.log)
-	if err = s.readTerms(nil); err != nil {
+	s.list = list.New(p.Discovery, p.Known, time.Duration(c.ConnectTimeout), s.desk, s.log)
+	book, err := s.readTerms(p, nil)
+	if err != nil {
 		return fmt.Errorf("the terms are wrong:\n%w", err)
 	}
-	if terms.RoutersTalk && p.PeerListen != "" {
-		if s.peers, err = peer.Listen(p.PeerListen, p.Peers, p.PeersAll, terms.Me, s.desk, s.log); err != nil {
-			return fmt.Errorf("peer_listen: %w", err)
-		}
-		s.task(s.peers.Hear)
+	s.desk.Terms(book)
+	if err = s.talk(c.RoutersTalk); err != nil {
+		return err
 	}
 	listener, err := net.Listen("tcp", p.Listen)
 	if err != nil {
 		return err
 	}
-	s.intake = intake.New(listener, c, s.desk, s.nodes, intake.Limits{Connections: clients,
+	s.intake = intake.New(listener, s.desk, s.nodes, intake.Limits{Connections: clients,
 		Askers: int(askersShare * float64(p.Descriptors)), Budget: ring.NewBudget(values)}, s.log)
 	s.task(s.carryOut)
 	s.task(s.intake.Serve)
@@ -208,6 +187,24 @@
 	return nil
 }
 
+// talk opens the address for other routers' words, or closes it, unless it is so already or there is none.
+func (s *Service) talk(on bool) error {
+	peers, p := s.peers.Load(), s.posting
+	switch {
+	case on && peers == nil && p.PeerListen != "":
+		var err error
+		if peers, err = peer.Listen(p.PeerListen, p.Peers, p.PeersAll, p.Contract.Me, s.desk, s.log); err != nil {
+			return fmt.Errorf("peer_listen: %w", err)
+		}
+		s.peers.Store(peers)
+		s.task(peers.Hear)
+	case !on && peers != nil:
+		s.peers.Store(nil)
+		peers.Close()
+	}
+	return nil
+}
+
 func (s *Service) task(f func()) {
 	s.tasks.Add(1)
 	go func() {
@@ -238,8 +235,8 @@
 			s.nodes.Probe(n)
 		}
 		for _, w := range o.Words {
-			if s.peers != nil {
-				s.peers.Tell(w.To, w.Text)
+			if peers := s.peers.Load(); peers != nil {
+				peers.Tell(w.To, w.Text)
 			}
 		}
 	}
@@ -266,9 +263,7 @@
 	if s.links != nil {
 		s.links.Close()
 	}
-	if s.peers != nil {
-		s.peers.Close()
-	}
+	s.talk(false)
 	s.nodes.Close()
 	s.tasks.Wait()
 }
--- a/internal/service/start.go
+++ b/internal/service/start.go
@@ -24,6 +24,7 @@
 	Descriptors             int
 	Known                   list.List
 	Contract                *contract.Contract
+	Settings                map[string]string // the members that it was read from, as they stand in the file
 }
 
 // What stands where the configuration names no limits: those of the deployment page.
@@ -90,6 +91,10 @@
 			return nil, fmt.Errorf("known: %w", err)
 		}
 	}
-	p.Contract = contract.Read(field.Object(v, "settings"))
+	settings := field.Object(v, "settings")
+	p.Contract = contract.Read(settings)
+	p.Contract.ListOnAsking = true // on sockets the list always has to be asked for
+	p.Settings = map[string]string{}
+	settings.GetObject().Visit(func(key []byte, member *fastjson.Value) { p.Settings[string(key)] = member.String() })
 	return p, nil
 }
--- a/internal/trip/conn.go
+++ b/internal/trip/conn.go
@@ -44,7 +44,7 @@
 		}
 	}()
 	c.carries = o
-	up := o.sent.Add(c.nodes.connect)
+	up := o.sent.Add(time.Duration(c.nodes.connect.Load()))
 	if o.until.Before(up) {
 		up = o.until
 	}
@@ -217,7 +217,7 @@
 func (c *conn) wait() *order {
 	s := c.nodes
 	c.since = time.Now()
-	c.sock.SetDeadline(c.since.Add(s.idle))
+	c.sock.SetDeadline(c.since.Add(time.Duration(s.idle.Load())))
 	s.mu.Lock()
 	if c.address != c.node.address {
 		s.mu.Unlock()
--- a/internal/trip/nodes.go
+++ b/internal/trip/nodes.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,8 +23,8 @@
 	Desk   *desk.Desk
 	log    *zap.Logger
 	budget *ring.Budget
-	// From the contract: how long a connection may take to come up, and how long one stays idle.
-	connect, idle time.Duration
+	// From the contract, in nanoseconds: how long a connection may take to come up, and how long one stays idle.
+	connect, idle atomic.Int64
 	dialer        net.Dialer
 
 	mu    sync.Mutex
@@ -45,9 +46,15 @@
 
 // New knows no node yet.
 func New(c *balance.Contract, l Limits, log *zap.Logger) *Nodes {
-	return &Nodes{log: log, budget: l.Budget, most: l.Connections, connect: time.Duration(c.ConnectTimeout),
-		// Closed here before the node would close it.
-		idle: max(time.Duration(c.KeepAlive-2*c.ConnectTimeout), time.Duration(c.KeepAlive/2))}
+	s := &Nodes{log: log, budget: l.Budget, most: l.Connections}
+	s.Heed(c)
+	return s
+}
+
+// Heed has connections keep to a contract from now on.
+func (s *Nodes) Heed(c *balance.Contract) {
+	s.connect.Store(c.ConnectTimeout)
+	s.idle.Store(max(c.KeepAlive-2*c.ConnectTimeout, c.KeepAlive/2)) // closed here before the node would close it
 }
 
 // Reach implements desk.Nodes. A node may move under the same name; what is idle at its old address ends.
@@ -122,7 +129,7 @@
 // connection and one for the answer.
 func (s *Nodes) Probe(n int) {
 	now := time.Now()
-	s.start(&order{node: n, until: now.Add(2 * s.connect), sent: now, back: func(e job.End) {
+	s.start(&order{node: n, until: now.Add(2 * time.Duration(s.connect.Load())), sent: now, back: func(e job.End) {
 		s.Desk.Probed(n, e.Ending == balance.Done, e.Report)
 	}}, false)
 }
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -32,8 +32,9 @@
 
 func (h *host) provision(e *fastjson.Value) {
 	c := contract.Read(field.Object(e, "facts"))
-	*h = host{now: h.now, said: h.said, nodes: map[string]int{}, groups: map[int64]int{}, zones: c.Zones,
+	*h = host{now: h.now, said: h.said, nodes: map[string]int{}, groups: map[int64]int{}, zones: map[string]int{},
 		tariffs: c.Names, places: map[int64]balance.Place{}, zero: c.Zero, x0: c.Place, x1: c.Role}
+	c.Settle(h.zones)
 	h.router = balance.Open(&c.Contract, uint64(field.Whole(e, "initSeed", false)), h, h.now)
 }
 
