--- a/balance/helpers_test.go
+++ b/balance/helpers_test.go
@@ -280,6 +280,13 @@
 			}
 		}
 		l.r.Wake(l.now)
+		// A job given up is answered at once: none is held that won't be sent again.
+		for i := range l.r.jobs {
+			j := &l.r.jobs[i]
+			if parked := j.live && !j.over && j.out == 0; parked && (!j.held || !l.r.mayRepeat(j, max(l.now, j.resume))) {
+				l.breaks("job %d is neither sent nor answered", j.place)
+			}
+		}
 	}
 }
 
