Tellers that nobody echoes speak ever less; one in 64 hearers echoes

Line at fault: speak went on at its full pace, heard or not. Change: a hearer in 64 echoes with eight bytes; a teller without an echo for four contract times doubles its pause each time, up to 64 contract times.

The test sees a teller slow down when nobody echoes and speed up when somebody does.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -35,6 +35,7 @@
 	holdShare = 0.2     // of a job's time for which it may be held
 	spare     = 0.5     // part of the room that second trips and reads strange to a primary may fill
 	calm      = 0.9     // busy cores of a laggard that still gets long reads
+	echoes    = 64      // one in so many that hear news says so
 	unseen    = 8.0     // trips on their way to a node that no news show yet, where many routers send
 	stir      = 2.0     // trips more or less at a node than told that are worth telling
 	tells     = 1.0 / 8 // trips of this router at a node, on average, for its own counts to tell much
@@ -73,9 +74,8 @@
 	}
 	for _, t := range c.Tariffs {
 		own := tariff{Tariff: t, usual: float64(t.ContractTime) / 4, share: spare + 0.75*t.Earnings/best}
-		// Where late answers earn nothing and a client can be asked away until its hard limit, a trip ends with the
-		// contract time and leaves its room to jobs that earn. Elsewhere the client would come again at once,
-		// which is more work than an answer that comes late.
+		// Where late answers earn nothing and clients can be asked away until their hard limit, trips end with the
+		// contract time and leave room to jobs that earn. Elsewhere clients come again, which is more work.
 		rest := t.HardLimit - t.ContractTime
 		if t.LateShare == 0 && t.Repeat == Reissuable && rest > 0 && rest <= r.away {
 			own.farewell = r.away
@@ -256,8 +256,7 @@
 	return weight / (unseen + crowd) / -math.Log(1-r.lot())
 }
 
-// lot is drawn from above 0 to below 1.
-func (r *Router) lot() float64 { return float64(1+r.chance.below(1<<20)) / (2 + 1<<20) }
+func (r *Router) lot() float64 { return float64(1+r.chance.below(1<<20)) / (2 + 1<<20) } // from 0 to 1
 
 // sparse tells whether the router has so few trips out at a node, on average, that they tell little.
 func (r *Router) sparse() bool { return r.borne < tells*float64(r.span) }
@@ -575,10 +574,10 @@
 			r.learn(m, k.crowd+1, min(tooLate, 2*float64(took)/float64(t.ContractTime)))
 		}
 		// late does not see silence in trips that end sooner than that.
-		switch silent := !k.late && m.heard <= k.sent && now >= m.aside; {
-		case silent && j.terms.TripTime+j.terms.TripShare > 0:
+		silent := !k.late && m.heard <= k.sent && now >= m.aside
+		if silent && j.terms.TripTime+j.terms.TripShare > 0 {
 			r.failed(m, now, 1)
-		case silent && now >= j.wanted && t.farewell > 0:
+		} else if silent && now >= j.wanted && t.farewell > 0 {
 			r.failed(m, now, distrust)
 		}
 	}
@@ -716,7 +715,7 @@
 }
 
 func (r *Router) listen(now int64) {
-	r.speaking, r.tellAt, r.speakAt = false, 0, now+r.fade+r.chance.below(2*r.fade)
+	r.speaking, r.gap, r.tellAt, r.speakAt = false, r.period, 0, now+r.fade+r.chance.below(2*r.fade)
 }
 
 // speak asks all nodes in turn and tells the others, where many routers have few trips each: so that one
@@ -725,7 +724,11 @@
 	switch {
 	case !r.peers || !r.sparse():
 	case now >= r.speakAt:
-		r.speaking, r.speakAt, r.tellAt, r.toldAt = true, now+r.period, now+2*r.sweep, now
+		// Without an echo it speaks ever less: guards against all routers speaking where messages are lost.
+		if r.gap = min(2*r.gap, 16*r.fade); now-r.echoAt < r.fade || !r.speaking {
+			r.gap = r.period
+		}
+		r.speaking, r.speakAt, r.tellAt, r.toldAt = true, now+r.gap, now+2*r.sweep, now
 		for i := range r.nodes {
 			if m := &r.nodes[i]; r.open(m) && m.group >= 0 && r.near(m) {
 				r.probe(int32(i), now)
@@ -751,9 +754,11 @@
 
 // Heard takes in what another router tells. It only ever is news of nodes that the own list has named.
 func (r *Router) Heard(now int64, from int, words []byte) {
-	r.toldAt = now
+	r.toldAt, r.echoAt = now, now
 	if r.hearNews(now, words) && (!r.speaking || from < r.me) {
-		r.listen(now)
+		if r.listen(now); r.chance.below(echoes) == 0 {
+			r.out.Tell(from, heading(now))
+		}
 	}
 }
 
--- a/balance/shape_test.go
+++ b/balance/shape_test.go
@@ -62,15 +62,19 @@
 	}
 }
 
-// Guards against hundreds of routers that follow old news: one tells twice in a contract time, but only what changed.
+// Guards against hundreds of routers that follow old news: one tells twice in a contract time, but only what changed; and
+// against all of them telling where words are lost: whom nobody echoes speaks ever less.
 func TestNewsComeTwiceAContractTime(t *testing.T) {
 	c := shop()
 	c.RoutersTalk = true
 	l := trio(c, 0, 0)
 	l.dense = false
-	stirs, held := false, 0.0
+	stirs, heeded, held := false, true, 0.0
 	answer := func(span int64) {
 		for until := l.now + span; l.now < until; l.pass(c.Tick) {
+			if heeded {
+				l.r.Heard(l.now, 2, heading(l.now))
+			}
 			for ; len(l.probes) > 0; l.probes = l.probes[1:] {
 				if n := l.probes[0]; stirs {
 					held += stir
@@ -92,6 +96,14 @@
 	if answer(10 * c.Tariffs[0].ContractTime); len(l.words)-before > 7 {
 		t.Fatalf("told %d times in ten contract times, though nothing changed", len(l.words)-before)
 	}
+	before, stirs, heeded = len(l.words), true, false
+	if answer(100 * c.Tariffs[0].ContractTime); len(l.words)-before > 20 {
+		t.Fatalf("told %d times in a hundred contract times, though nobody heard", len(l.words)-before)
+	}
+	before, heeded = len(l.words), true
+	if answer(100 * c.Tariffs[0].ContractTime); len(l.words)-before < 50 {
+		t.Fatalf("told %d times in a hundred contract times, though heard again", len(l.words)-before)
+	}
 }
 
 // Guards against room taken by jobs that earn nothing any more: their trips end with the contract time where clients can be
