Work that warm nodes turned away no longer raises the shares of cold ones

Ruled out: primaries that are cold (under ten trips a second), reads (none), the warmth's slope.

Line at fault: send counts a trip's usual time into its node's work, and Ended left it there when the node turned the write away at once; the mean over warm nodes is what bears grants a young one, and turned-away work presses on that all the same.

Change: at a warm node the work of a trip that never ran is taken back; at a young one it stays. A test that fails without it.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -222,8 +222,7 @@
 		if r.sparse() && m.answers > 0 && now-m.heard < r.keep { // it has a connection there
 			score *= 2
 		}
-		// A node of another zone counts little: jobs that cross cost more, and the way there turns slow and loses
-		// jobs far oftener than whole zones run short. It harms where the own zone has few nodes: they fill first.
+		// Guards against a way between zones that turns slow and loses jobs; harms where the own has few nodes.
 		if !r.near(m) {
 			score *= farther
 		}
@@ -245,9 +244,8 @@
 	return best, fresh
 }
 
-// pull is the design's weight / (1 + trips). A router with hardly any trips out knows what nodes showed once,
-// as all others do: they would crowd the emptiest till the next news. So it draws lots in proportion to that,
-// and reckons with trips that no news show yet. It harms where nodes differ much in speed.
+// pull is the design's weight / (1 + trips). Sparse routers all know the same old news, and would crowd the
+// emptiest node till the next: they draw lots in proportion, and reckon with trips that no news show yet.
 func (r *Router) pull(m *node, now int64) float64 {
 	weight, crowd := m.weight*r.warmth(m, now), r.crowd(m, now)
 	if !r.sparse() {
@@ -265,8 +263,7 @@
 // router has too few trips to learn that, one learnt from all nodes. A second trip takes only spare room.
 // A client that waits for less than the contract time gets room by what it waits: other trips would take
 // too long for it, and its repeats would crowd out patient ones. Harms no one who waits as the contract says.
-// Where all routers go by the same news the room ends by lot, up to twice its size: else all stop sending at
-// once, and all begin again at the next news.
+// By lot it ends up to twice as far at sparse routers: else all stop and begin together with each news.
 func (r *Router) fits(m *node, j *job, part float64, now int64) bool {
 	t, room := &r.tariffs[j.tariff], m.room.size
 	if r.sparse() {
@@ -543,6 +540,9 @@
 	if e <= Full || e == Failed {
 		m.alive(now)
 	}
+	if e > Done && e <= Moot && r.warmth(m, now) >= 1 { // what was turned away shows not what nodes bear
+		m.work = max(0, m.work-t.usual)
+	}
 	switch e {
 	case Done:
 		m.failures, m.aside, m.served = 0, 0, now
--- a/balance/shape_test.go
+++ b/balance/shape_test.go
@@ -178,3 +178,29 @@
 		t.Fatalf("of 200 jobs were sent, by trips held: %v", sent)
 	}
 }
+
+// Guards against cold nodes pushed over in an election: writes that go round and are turned away by warm nodes don't count as
+// what these bear, so a young member's share doesn't grow with them.
+func TestRoundsDoNotRaiseColdShares(t *testing.T) {
+	c := shop()
+	c.MaxTrips = 10
+	l := trio(c, 0, 0)
+	l.list(node{}, node{}, node{started: l.now})
+	l.heard(0, Replica, l.now)
+	l.pass(c.Tick)
+	before := l.r.ownShare(&l.r.nodes[2], l.now)
+	for range 100 {
+		p := l.take(int(Write), 0, 300*ms, 0)
+		for i := 0; i < len(l.trips); i++ {
+			if l.trips[i].open {
+				l.end(i, Miss, Note{Role: Replica, Position: l.now}, Report{Held: -1})
+				i = -1
+			}
+		}
+		l.pass(c.Tick)
+		l.r.Left(p)
+	}
+	if after := l.r.ownShare(&l.r.nodes[2], l.now); after > 2*before+float64(c.FallSpan)/100 {
+		t.Fatalf("the share went from %v to %v", before, after)
+	}
+}
