Each hearer echoes twice in what news count for, not one in 64 of them

Cause: with a handful of sparse routers one echo in 64 words is too few for a teller, which would slow down though it is heard.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -35,7 +35,6 @@
 	holdShare = 0.2     // of a job's time for which it may be held
 	spare     = 0.5     // part of the room that second trips and reads strange to a primary may fill
 	calm      = 0.9     // busy cores of a laggard that still gets long reads
-	echoes    = 64      // one in so many that hear news says so
 	unseen    = 8.0     // trips on their way to a node that no news show yet, where many routers send
 	stir      = 2.0     // trips more or less at a node than told that are worth telling
 	tells     = 1.0 / 8 // trips of this router at a node, on average, for its own counts to tell much
@@ -756,7 +755,8 @@
 func (r *Router) Heard(now int64, from int, words []byte) {
 	r.toldAt, r.echoAt = now, now
 	if r.hearNews(now, words) && (!r.speaking || from < r.me) {
-		if r.listen(now); r.chance.below(echoes) == 0 {
+		if r.listen(now); now-r.echoedAt >= r.fade/2 {
+			r.echoedAt = now
 			r.out.Tell(from, heading(now))
 		}
 	}
