A teller without an echo waits three contract times at once, then twice as long each

A router that nobody hears still spoke seven times within six seconds, and all began within two contract times of each other.

Change: after a word a teller waits three contract times and doubles that, up to 64; an echo sets it back to half a contract time. Routers that hear nobody begin over 16 contract times, not 8.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -714,7 +714,7 @@
 }
 
 func (r *Router) listen(now int64) {
-	r.speaking, r.gap, r.tellAt, r.speakAt = false, r.period, 0, now+r.fade+r.chance.below(2*r.fade)
+	r.speaking, r.gap, r.tellAt, r.speakAt = false, 0, 0, now+r.fade+r.chance.below(4*r.fade)
 }
 
 // speak asks all nodes in turn and tells the others, where many routers have few trips each: so that one
@@ -724,9 +724,7 @@
 	case !r.peers || !r.sparse():
 	case now >= r.speakAt:
 		// Without an echo it speaks ever less: guards against all routers speaking where messages are lost.
-		if r.gap = min(2*r.gap, 16*r.fade); now-r.echoAt < r.fade || !r.speaking {
-			r.gap = r.period
-		}
+		r.gap = min(max(2*r.gap, r.fade*3/4), 16*r.fade)
 		r.speaking, r.speakAt, r.tellAt, r.toldAt = true, now+r.gap, now+2*r.sweep, now
 		for i := range r.nodes {
 			if m := &r.nodes[i]; r.open(m) && m.group >= 0 && r.near(m) {
@@ -753,7 +751,9 @@
 
 // Heard takes in what another router tells. It only ever is news of nodes that the own list has named.
 func (r *Router) Heard(now int64, from int, words []byte) {
-	r.toldAt, r.echoAt = now, now
+	if r.toldAt = now; r.speaking {
+		r.gap, r.speakAt = 0, min(r.speakAt, r.speakAt-r.gap+r.period)
+	}
 	if r.hearNews(now, words) && (!r.speaking || from < r.me) {
 		if r.listen(now); now-r.echoedAt >= r.fade/2 {
 			r.echoedAt = now
