Hearers echo at random moments, not all at the same word

Line at fault: the fixed pause between a hearer's echoes. Change: it is drawn, four contract times on average.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -755,8 +755,8 @@
 		r.gap, r.speakAt = 0, min(r.speakAt, r.speakAt-r.gap+r.period)
 	}
 	if r.hearNews(now, words) && (!r.speaking || from < r.me) {
-		if r.listen(now); now-r.echoedAt >= r.fade/2 {
-			r.echoedAt = now
+		if r.listen(now); now >= r.echoAt {
+			r.echoAt = now + r.chance.below(2*r.fade)
 			r.out.Tell(from, heading(now))
 		}
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -24,7 +24,7 @@
 	zone                                  int32
 	marks                                 map[uint32][]int32
 	period, speakAt, tellAt, toldAt, keep int64
-	gap, echoedAt                         int64   // between news without an echo, and when one was last given
+	gap, echoAt                           int64   // between news without an echo, and before which none is given
 	shared                                room    // of all nodes, for want of better
 	fade                                  int64   // how long what a node shows counts
 	borne                                 float64 // work sent over the span to a warm node
