No job pauses past its contract time for nothing; explain tells trips that end with it

Seen: terms explain told that a read of route-view ends at its hard limit, while its trip ends with the contract time now; and a job whose terms make it pause was held until a moment at which it was given up, as late answers earn nothing.

Change: Contract.Farewell is the one place that says where trips end with the contract time, for the module and for explain; afterTrip answers at once if the pause would end too late; a part of what is left (trip_share) is reckoned from the hard limit as before.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -73,12 +73,7 @@
 	}
 	for _, t := range c.Tariffs {
 		own := tariff{Tariff: t, usual: float64(t.ContractTime) / 4, share: spare + 0.75*t.Earnings/best}
-		// Where late answers earn nothing and clients can be asked away until their hard limit, trips end with the
-		// contract time and leave room to jobs that earn. Elsewhere clients come again, which is more work.
-		rest := t.HardLimit - t.ContractTime
-		if t.LateShare == 0 && t.Repeat == Reissuable && rest > 0 && rest <= r.away {
-			own.farewell = r.away
-		}
+		own.farewell = c.Farewell(&t)
 		numbers = append(numbers, r.enter(own, len(numbers) == 0))
 	}
 	r.sweep = max(c.Tick, shortest/sweeps)
@@ -89,6 +84,16 @@
 	return numbers
 }
 
+// Farewell is for how long clients are asked away whose job can earn nothing any more, where that reaches to
+// their hard limit: there trips end with the contract time. Elsewhere clients come again, which is more work.
+func (c *Contract) Farewell(t *Tariff) int64 {
+	rest := t.HardLimit - t.ContractTime
+	if t.LateShare > 0 || t.Repeat != Reissuable || rest <= 0 || rest > c.LongestAbsence {
+		return 0
+	}
+	return c.LongestAbsence
+}
+
 // ListMoved has the list asked for anew, at a random moment soon.
 func (r *Router) ListMoved(now int64) {
 	r.backoff, r.watchAt = r.leastBackoff, now+r.chance.below(r.leastBackoff)
@@ -258,11 +263,10 @@
 // sparse tells whether the router has so few trips out at a node, on average, that they tell little.
 func (r *Router) sparse() bool { return r.borne < tells*float64(r.span) }
 
-// fits tells whether the node can hold one more, of the given part of its room: its own, or where the
-// router has too few trips to learn that, one learnt from all nodes. A second trip takes only spare room.
-// A client that waits for less than the contract time gets room by what it waits: other trips would take
-// too long for it, and its repeats would crowd out patient ones. Harms no one who waits as the contract says.
-// By lot it ends up to twice as far at sparse routers: else all stop and begin together with each news.
+// fits tells whether the node can hold one more, of the given part of its room: its own, or where the router
+// has too few trips to learn that, one learnt from all nodes. A second trip takes only spare room. A client
+// that waits less than the contract time gets room by that, else its repeats crowd out patient ones. By lot
+// it ends up to twice as far at sparse routers: else all stop and begin together with each news.
 func (r *Router) fits(m *node, j *job, part float64, now int64) bool {
 	t, room := &r.tariffs[j.tariff], m.room.size
 	if r.sparse() {
@@ -276,12 +280,11 @@
 	if t.Need < Fresh { // all of it for the tariff that earns most for its work, half at the least
 		room *= spare + (1-spare)*min(1, t.Earnings/t.usual/r.dearest)
 	}
-	if min(j.lot, 1-quick) >= room {
-		return false
-	} else if r.sparse() {
-		room *= 2 * math.Sqrt(1-j.lot)
+	most := room
+	if r.sparse() {
+		most *= 2 * math.Sqrt(1-j.lot)
 	}
-	return r.crowd(m, now) < room && r.bears(m, j, now)
+	return min(j.lot, 1-quick) < room && r.crowd(m, now) < most && r.bears(m, j, now)
 }
 
 // crowd is how many trips a node is thought to hold: this router's own, and where those tell little also
@@ -440,9 +443,8 @@
 	return share, max(want, least), least
 }
 
-// Lend has a young node sent so much work at most over the rule's span, until then; after that and until
-// kept a part of the own share. It moves shares about among routers, so that all together send what they
-// would alone.
+// Lend has a young node sent so much work at most over the rule's span, until then; after that and until kept
+// a part of the own share. It moves shares about among routers, and all together send as much as alone.
 func (r *Router) Lend(n int, work, part float64, until, kept int64) {
 	m := &r.nodes[n]
 	m.lent, m.kept, m.lentUntil, m.keptUntil = work, part, until, kept
@@ -455,8 +457,7 @@
 	}
 }
 
-// Seen tells what this router has seen of a node by itself: that it had to set it aside, or that it
-// answered within the span.
+// Seen tells what this router saw of a node by itself: that it set it aside, or had an answer in the span.
 func (r *Router) Seen(now int64, n int, span int64) (failed, answered bool) {
 	m := &r.nodes[n]
 	return now < m.aside && m.failures >= distrust, m.served > 0 && now-m.served < span
@@ -511,14 +512,14 @@
 	r.decay(m, now)
 	m.work += t.usual
 	until := j.limit
-	if t.farewell > 0 {
-		until = j.wanted
-	}
 	if j.terms.TripTime > 0 {
 		until = min(until, now+j.terms.TripTime)
 	} else if j.terms.TripShare > 0 {
 		until = min(until, now+(until-now)*j.terms.TripShare/Whole)
 	}
+	if t.farewell > 0 {
+		until = min(until, j.wanted)
+	}
 	r.out.Submit(j.place, int(n), until)
 }
 
@@ -597,8 +598,10 @@
 	if j.out > 0 && e != Miss && e != Full {
 		return
 	}
+	t := &r.tariffs[j.tariff]
 	switch pause := r.pause(j); {
-	case j.terms.Again != 0 && j.terms.Again>>e&1 == 0, pause > 0 && !r.mayRepeat(j, now+pause):
+	case pause > 0 && t.LateShare == 0 && now+pause+int64(t.usual/2) > j.wanted,
+		j.terms.Again != 0 && j.terms.Again>>e&1 == 0, pause > 0 && !r.mayRepeat(j, now+pause):
 		r.giveUp(j, now, 0)
 	case pause > 0 && j.out == 0:
 		j.held, j.resume = true, now+pause
@@ -623,10 +626,9 @@
 	return p - r.chance.below(p*t.Jitter/Whole)
 }
 
-// learn takes in how long a trip took, as a part of its contract time, with so many trips at the node.
-// Where time goes up with their number, room follows it to the number at which a trip takes half its
-// contract time. Guards against overload, slow nodes and other routers' traffic alike; it harms where
-// time goes up for all, as answers would come late anyway.
+// learn takes in how long a trip took, as a part of its contract time, with so many trips at the node. Where
+// time goes up with their number, room follows it to that at which a trip takes half its contract time.
+// Guards against overload, slow nodes, other routers' traffic; harms where time goes up for all.
 func (r *Router) learn(m *node, among, part float64) {
 	if m.room.learn(among, part, 1); r.sparse() {
 		r.shared.learn(among, part, quick) // by lot, less than one trip
@@ -737,8 +739,7 @@
 	}
 }
 
-// worthTelling tells whether the news of a node would change what others do, or they had none for long: each
-// word costs at hundreds of routers, and most nodes stay as they are.
+// worthTelling tells whether news of a node would change what others do, or they had none for long.
 func (r *Router) worthTelling(m *node, now int64) bool {
 	if math.Abs(m.shown-m.said) < stir && now-m.saidAt < r.fade/2 {
 		return false
--- a/balance/shape_test.go
+++ b/balance/shape_test.go
@@ -219,3 +219,14 @@
 		t.Fatalf("%d echoes", n)
 	}
 }
+
+// Guards against a job held through a pause at whose end it would be given up: it is answered at once.
+func TestNoPausePastTheContractTime(t *testing.T) {
+	l := trio(shop(), 0, 0)
+	l.terms = Terms{Pause: 400 * ms}
+	p := l.take(int(Any), 0, 5000*ms, 0)
+	l.now += 10 * ms
+	if finish(l, 0, Failed); !slices.Contains(l.log, fmt.Sprintf("bounce %d 0", p)) {
+		t.Fatal(l.log)
+	}
+}
--- a/internal/decide/terms/explain.go
+++ b/internal/decide/terms/explain.go
@@ -95,6 +95,9 @@
 		e.Trips++
 		say(at, "trip %d leaves", e.Trips)
 		end := at + c.Trip.longest(limit-at)
+		if k.Farewell(t) > 0 { // a late answer would earn nothing
+			end = min(end, t.ContractTime)
+		}
 		if c.Copies.Set() && !c.NoCopies && e.Trips < most {
 			if copyAt := at + c.Copies.longest(limit-at); copyAt < end && (t.Repeat != balance.Numbered || copyAt <= first+t.Window) {
 				e.Trips++
@@ -108,7 +111,10 @@
 		}
 		say(end, "the trip is given up")
 		next := end + c.pause(e.Trips)
-		switch {
+		switch away := k.Farewell(t); {
+		case away > 0 && next >= t.ContractTime:
+			e.final(t, c, end, "the next would leave after the contract time, and late answers earn nothing; the client is asked away for "+text(away), say)
+			return
 		case e.Trips >= most:
 			e.final(t, c, end, "no trips are left", say)
 			return
