--- a/internal/service/reload.go
+++ b/internal/service/reload.go
@@ -16,13 +16,12 @@
 func (s *Service) reload() {
 	was := s.phase
 	s.enter(Reloading)
-	p, err := ReadPosting(os.Getenv)
-	if err == nil {
-		err = s.take(p)
-	} else if faults, _, e := Check(os.Getenv("ROUTER_CONFIG"), os.Getenv); e == nil && len(faults) > 0 {
-		err = faults // with their places
-	}
-	if err != nil {
+	if p, err := ReadPosting(os.Getenv); err == nil {
+		s.take(p)
+	} else {
+		if faults, _, e := Check(os.Getenv("ROUTER_CONFIG"), os.Getenv); e == nil && len(faults) > 0 {
+			err = faults // with their places
+		}
 		s.log.Warn("the configuration is wrong, the one before stands", zap.Error(err))
 		// The terms may have changed all the same, and hold for the settings that stand.
 		s.renewTerms()
@@ -32,7 +31,7 @@
 
 // take takes up what a posting says otherwise than the one before. Discovery moves whatever becomes of the settings: guards
 // against a router that loses its list over a setting.
-func (s *Service) take(p *Posting) error {
+func (s *Service) take(p *Posting) {
 	if fixed := s.posting.waiting(p); len(fixed) > 0 {
 		s.log.Warn("members that only a restart changes keep their values", zap.Strings("members", fixed))
 	}
@@ -41,13 +40,12 @@
 	p.Contract.Me, p.Contract.Zone = s.posting.Contract.Me, s.posting.Contract.Zone
 	if reflect.DeepEqual(p.Contract, s.posting.Contract) {
 		s.renewTerms()
-		return nil
+		return
 	}
 	if err := s.renew(p); err != nil {
 		s.log.Warn("the settings are wrong, those before stand", zap.Error(err))
 		s.renewTerms()
 	}
-	return nil
 }
 
 // renew has the jobs to come keep to a posting's settings, all of them or none.
@@ -65,7 +63,7 @@
 		return fmt.Errorf("the terms don't fit them:\n%w", err)
 	}
 	// Words are to be heard before any job counts on them.
-	if talks := s.peers.Load() != nil; p.Contract.RoutersTalk && !talks {
+	if p.Contract.RoutersTalk {
 		if err := s.talk(true); err != nil {
 			return err
 		}
