--- /dev/null
+++ b/cmd/sedgestream/fleet.go
@@ -0,0 +1,36 @@
+package main
+
+import "os/user"
+
+// whole is how the fleet is found.
+type whole struct {
+	form
+	Tier string   `type:"path" placeholder:"FILE" env:"SEDGESTREAM_TIER" help:"File of the tier: its planners and seeds are asked who is there."`
+	At   []string `placeholder:"ADDRESS" help:"Addresses of members to ask, beside or instead of the tier's."`
+}
+
+type fleetShow struct {
+	whole
+	All bool `help:"Tell every member of every view, not only what differs."`
+}
+
+func (fleetShow) Help() string {
+	return "Exit 0: all that are there answer and agree; 1: some do not.\n\nExample:\n\n    sedgestream fleet show --tier deploy/tier.json"
+}
+func (f *fleetShow) Run() error { return f.desk().ShowFleet(f.Tier, f.At, f.All) }
+
+type fleetLeave struct {
+	whole
+	Name string `arg:"" help:"The member's name."`
+}
+
+func (fleetLeave) Help() string {
+	return "A member that is there leaves by itself and goes on to serve alone. One that has failed is called off: nobody waits for it or counts it any more.\n\nExample:\n\n    sedgestream fleet leave n17 --tier deploy/tier.json"
+}
+func (f *fleetLeave) Run() error {
+	by := "an operator"
+	if u, err := user.Current(); err == nil {
+		by = u.Username
+	}
+	return f.desk().LeaveFleet(f.Tier, f.At, f.Name, by)
+}
--- a/cmd/sedgestream/main.go
+++ b/cmd/sedgestream/main.go
@@ -30,6 +30,10 @@
 		Run  planRun  `cmd:"" default:"withargs" help:"Be a planner (what plan does without a further word)."`
 		Show planShow `cmd:"" help:"Tell what a planner and its forwarders believe."`
 	} `cmd:"" help:"Planners: they carry no jobs, and tell and lend forwarders what one alone can't know."`
+	Fleet struct {
+		Show  fleetShow  `cmd:"" default:"withargs" help:"Tell each instance's view of the fleet side by side (what fleet does without a further word)."`
+		Leave fleetLeave `cmd:"" help:"Have an instance leave the fleet, or call one off that is gone for good."`
+	} `cmd:"" help:"The fleet: who is there, and who differs from whom."`
 	Check      check      `cmd:"" help:"Read the platform's file as a router would, and tell all that is wrong with it."`
 	Terms      termsWords `cmd:"" help:"Terms of routes: time-outs, trips, second copies, budgets."`
 	Completion completion `cmd:"" help:"Print a completion script for a shell."`
@@ -48,17 +52,26 @@
 }
 
 type run struct {
+	carries
+	Tier string `type:"path" placeholder:"FILE" env:"SEDGESTREAM_TIER" help:"File of the tier; where it has members, this router is one of them."`
+}
+
+// carries is what routers that carry jobs are told, whether they heed planners or not.
+type carries struct {
 	Terms    string `type:"path" placeholder:"FILE" env:"SEDGESTREAM_TERMS" help:"File of terms; read again on SIGHUP."`
 	LogLevel string `enum:"debug,info,warn,error" default:"info" env:"SEDGESTREAM_LOG_LEVEL" help:"Least level that is logged: ${enum}."`
+
+	MemberListen    string `default:"127.0.0.1:0" placeholder:"ADDRESS" env:"SEDGESTREAM_MEMBER_LISTEN" help:"Where the membership's words come to, if the tier has members (${default})."`
+	MemberAdvertise string `placeholder:"ADDRESS" env:"SEDGESTREAM_MEMBER_ADVERTISE" help:"What other members are told instead."`
 }
 
 func (run) Help() string {
 	return "Example:\n\n    ROUTER_CONFIG=config.json sedgestream run --terms deploy/terms.json"
 }
 
-func (r *run) Run() error { return r.serve("") }
+func (r *run) Run() error { return r.serve(service.Files{Tier: r.Tier}) }
 
-func (r *run) serve(tier string) error {
+func (r *carries) serve(files service.Files) error {
 	log, err := logger(r.LogLevel)
 	if err != nil {
 		return err
@@ -68,22 +81,26 @@
 	stops, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(reloads, syscall.SIGHUP)
-	return service.New(log, service.Files{Terms: r.Terms, Tier: tier}, reloads).Run(stops)
+	files.Terms, files.Listen, files.Advertise = r.Terms, r.MemberListen, r.MemberAdvertise
+	return service.New(log, files, reloads).Run(stops)
 }
 
 type forward struct {
-	run
+	carries
 	Tier string `required:"" type:"path" placeholder:"FILE" env:"SEDGESTREAM_TIER" help:"File that names the planners."`
 }
 
 func (forward) Help() string {
 	return "Example:\n\n    ROUTER_CONFIG=config.json sedgestream forward --tier deploy/tier.json"
 }
-func (f *forward) Run() error { return f.serve(f.Tier) }
+func (f *forward) Run() error { return f.serve(service.Files{Tier: f.Tier, Forward: true}) }
 
 type planRun struct {
-	Tier     string `required:"" type:"path" placeholder:"FILE" env:"SEDGESTREAM_TIER" help:"File that names the planners."`
-	Name     string `required:"" help:"Which of them this is."`
+	Tier string `required:"" type:"path" placeholder:"FILE" env:"SEDGESTREAM_TIER" help:"File that names the planners."`
+	Name string `required:"" help:"Which of them this is."`
+
+	MemberAdvertise string `placeholder:"ADDRESS" env:"SEDGESTREAM_MEMBER_ADVERTISE" help:"What other members are told instead of its address."`
+
 	LogLevel string `enum:"debug,info,warn,error" default:"info" env:"SEDGESTREAM_LOG_LEVEL" help:"Least level that is logged: ${enum}."`
 }
 
@@ -98,7 +115,7 @@
 	defer log.Sync()
 	stops := make(chan os.Signal, 1)
 	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
-	return service.Plan(log, p.Tier, p.Name, stops)
+	return service.Plan(log, p.Tier, p.Name, p.MemberAdvertise, stops)
 }
 
 type planShow struct {
--- /dev/null
+++ b/internal/advise/fleet.go
@@ -0,0 +1,294 @@
+package advise
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"sedgestream/internal/decide/members"
+	"sedgestream/internal/tierfile"
+	"sedgestream/internal/words"
+)
+
+// askedAtOnce bounds how many members are asked at a time.
+const askedAtOnce = 32
+
+// Sight is the whole fleet as its members see it.
+type Sight struct {
+	Views  []*words.Fleet `json:"views"`
+	Silent []Silence      `json:"silent,omitempty"` // of those that others believe to be there
+	Differ []Difference   `json:"differ,omitempty"`
+}
+
+// Silence is a member that did not answer the operator.
+type Silence struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Why     string `json:"why"`
+}
+
+// Difference is a view that is not most members'.
+type Difference struct {
+	Name   string   `json:"name"`   // who has it
+	Number uint64   `json:"number"` // of its view, and the digest
+	Digest string   `json:"digest"`
+	Lacks  []string `json:"lacks,omitempty"` // of what most have
+	Beside []string `json:"beside,omitempty"`
+	Health []string `json:"health,omitempty"` // of whom it believes otherwise, and since when
+}
+
+// gather asks those that are named, and then everyone that any of them believes to be there.
+func (d *Desk) gather(path string, at []string) (*Sight, error) {
+	todo := map[string]string{} // names by address
+	for _, a := range at {
+		todo[a] = ""
+	}
+	if path != "" {
+		tier, err := tierfile.Load(path)
+		if err != nil {
+			return nil, d.faults(err)
+		}
+		for _, a := range tier.Seeds {
+			todo[a] = ""
+		}
+		for name, a := range tier.Planners {
+			todo[a] = name
+		}
+	}
+	if len(todo) == 0 {
+		return nil, fmt.Errorf("neither a tier nor an address to ask at")
+	}
+	s, done := &Sight{}, map[string]bool{}
+	var mu sync.Mutex
+	for len(todo) > 0 {
+		batch := todo
+		todo = map[string]string{}
+		turns := make(chan struct{}, askedAtOnce)
+		var all sync.WaitGroup
+		for address, name := range batch {
+			done[address] = true
+			all.Add(1)
+			turns <- struct{}{}
+			go func() {
+				defer func() { <-turns; all.Done() }()
+				w, err := operate(address, &words.Word{Fleet: &words.Fleet{}})
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil {
+					s.Silent = append(s.Silent, Silence{name, address, err.Error()})
+					return
+				}
+				s.Views = append(s.Views, w.Fleet)
+			}()
+		}
+		all.Wait()
+		for _, v := range s.Views {
+			done[v.Self.Address] = true
+		}
+		for _, v := range s.Views {
+			for _, k := range v.All {
+				if k.Record.Health < members.Failed && !done[k.Record.Address] {
+					todo[k.Record.Address] = k.Record.Name
+				}
+			}
+		}
+	}
+	slices.SortFunc(s.Views, func(a, b *words.Fleet) int {
+		return cmp.Or(cmp.Compare(a.Self.Name, b.Self.Name), cmp.Compare(a.Self.Life, b.Self.Life))
+	})
+	s.Views = slices.CompactFunc(s.Views, func(a, b *words.Fleet) bool { return a.Self.Life == b.Self.Life })
+	slices.SortFunc(s.Silent, func(a, b Silence) int { return cmp.Compare(a.Address, b.Address) })
+	s.compare()
+	return s, nil
+}
+
+// operate says one word as an operator and gives the answer.
+func operate(address string, say *words.Word) (*words.Word, error) {
+	sock, err := net.DialTimeout("tcp", address, wait)
+	if err != nil {
+		return nil, err
+	}
+	defer sock.Close()
+	c := words.On(sock)
+	for _, w := range []*words.Word{{Hello: &words.Hello{Version: words.Version, Kind: words.Operator}}, say} {
+		if err := c.Write(w, wait); err != nil {
+			return nil, err
+		}
+	}
+	for {
+		switch w, err := c.Read(wait); {
+		case err != nil:
+			return nil, err
+		case w.Bye != "":
+			return nil, fmt.Errorf("%s", w.Bye)
+		case w.Hello == nil:
+			return w, nil
+		}
+	}
+}
+
+// compare finds who has another view than most, and in what.
+func (s *Sight) compare() {
+	count := map[uint64]int{}
+	var most *words.Fleet
+	for _, v := range s.Views {
+		if count[v.View.Digest]++; most == nil || count[v.View.Digest] > count[most.View.Digest] {
+			most = v
+		}
+	}
+	if most == nil {
+		return
+	}
+	base, healths := map[members.Member]bool{}, map[string]members.Known{}
+	for _, m := range most.View.Members {
+		base[m] = true
+	}
+	for _, k := range most.All {
+		healths[k.Record.Name] = k
+	}
+	for _, v := range s.Views {
+		if v.View.Digest == most.View.Digest {
+			continue
+		}
+		d := Difference{Name: v.Self.Name, Number: v.View.Number, Digest: fmt.Sprintf("%016x", v.View.Digest)}
+		lacks := maps.Clone(base)
+		for _, m := range v.View.Members {
+			if !base[m] {
+				d.Beside = append(d.Beside, m.Name)
+			}
+			delete(lacks, m)
+		}
+		for m := range lacks {
+			d.Lacks = append(d.Lacks, m.Name)
+		}
+		slices.Sort(d.Lacks)
+		for _, k := range v.All {
+			if o, known := healths[k.Record.Name]; !known || o.Record.Health != k.Record.Health {
+				was := "unknown"
+				if known {
+					was = o.Record.Health.String()
+				}
+				d.Health = append(d.Health, fmt.Sprintf("%s %s for %v (%s to most)", k.Record.Name, k.Record.Health, time.Duration(k.Since).Round(time.Millisecond), was))
+			}
+		}
+		s.Differ = append(s.Differ, d)
+	}
+}
+
+// ShowFleet tells each member's view side by side, and who differs from most, in what and since when. It is Wrong if any differs
+// or does not answer.
+func (d *Desk) ShowFleet(path string, at []string, all bool) error {
+	s, err := d.gather(path, at)
+	if err != nil {
+		return err
+	}
+	if d.JSON {
+		err = d.json(s)
+	} else {
+		err = d.sight(s, all)
+	}
+	if err == nil && (len(s.Silent) > 0 || len(s.Differ) > 0) {
+		return Wrong
+	}
+	return err
+}
+
+func (d *Desk) sight(s *Sight, all bool) error {
+	w := tabwriter.NewWriter(d.Out, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, "member\tkind\tzone\taddress\tview\tdigest\tmembers\tmay send\tsituation\tstrain\tsuspects\tfailed\tleft")
+	for _, v := range s.Views {
+		var n [members.Left + 1]int
+		for _, k := range v.All {
+			n[min(k.Record.Health, members.Left)]++
+		}
+		fmt.Fprintf(w, "%s (%d)\t%s\t%s\t%s\t%d\t%016x\t%d\t%d\t%s\t%d\t%d\t%d\t%d\n", v.Self.Name, v.Self.Incarnation, v.Self.Kind, dash(v.Self.Zone),
+			v.Self.Address, v.View.Number, v.View.Digest, len(v.View.Members), v.Holds.Senders, v.Holds.Situation, v.Strain,
+			n[members.Suspect], n[members.Failed], n[members.Left])
+	}
+	for _, m := range s.Silent {
+		fmt.Fprintf(w, "%s\t-\t-\t%s\tdoes not answer: %s\n", dash(m.Name), m.Address, m.Why)
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	for _, f := range s.Differ {
+		fmt.Fprintf(d.Out, "\n%s differs from most: view %d, digest %s\n", f.Name, f.Number, f.Digest)
+		for _, l := range []struct {
+			what string
+			of   []string
+		}{{"lacks", f.Lacks}, {"has beside", f.Beside}, {"believes", f.Health}} {
+			if len(l.of) > 0 {
+				fmt.Fprintf(d.Out, "  %s: %s\n", l.what, strings.Join(l.of, ", "))
+			}
+		}
+	}
+	for _, v := range s.Views {
+		if v.Other != nil {
+			fmt.Fprintf(d.Out, "\n%s has heard of another view %d by %s, first %v ago\n", v.Self.Name, v.Other.Number, v.Other.Who, time.Duration(v.Other.Since).Round(time.Millisecond))
+		}
+	}
+	if !all {
+		return nil
+	}
+	w = tabwriter.NewWriter(d.Out, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, "\nby\tmember\thealth\tfor\theard\tvia\taccused by")
+	for _, v := range s.Views {
+		for _, k := range v.All {
+			heard := "never"
+			if k.Heard >= 0 {
+				heard = fmt.Sprint(time.Duration(k.Heard).Round(time.Millisecond), " ago")
+			}
+			fmt.Fprintf(w, "%s\t%s (%d)\t%s\t%v\t%s\t%s\t%s\n", v.Self.Name, k.Record.Name, k.Record.Incarnation, k.Record.Health,
+				time.Duration(k.Since).Round(time.Millisecond), heard, dash(k.Via), dash(k.Record.By))
+		}
+	}
+	return w.Flush()
+}
+
+// LeaveFleet has a member leave, or calls one off that has failed.
+func (d *Desk) LeaveFleet(path string, at []string, name, by string) error {
+	s, err := d.gather(path, at)
+	if err != nil {
+		return err
+	}
+	off := &words.Word{Off: &words.Off{Name: name, By: by}}
+	var why error
+	for _, v := range s.Views { // itself first
+		if v.Self.Name != name {
+			continue
+		}
+		w, err := operate(v.Self.Address, off)
+		if err == nil && w.Off != nil && w.Off.Done {
+			fmt.Fprintf(d.Out, "%s leaves\n", name)
+			return nil
+		}
+		why = err
+	}
+	for _, v := range s.Views {
+		if !slices.ContainsFunc(v.All, func(k members.Known) bool { return k.Record.Name == name }) {
+			continue
+		}
+		w, err := operate(v.Self.Address, off)
+		switch {
+		case err != nil:
+			why = err
+		case w.Off == nil:
+			why = fmt.Errorf("%s answers something else", v.Self.Name)
+		case w.Off.Done:
+			fmt.Fprintf(d.Out, "%s is called off; %s tells the others\n", name, v.Self.Name)
+			return nil
+		default:
+			why = fmt.Errorf("%s: %s", v.Self.Name, w.Off.Why)
+		}
+	}
+	if why == nil {
+		why = fmt.Errorf("nobody knows a member %q", name)
+	}
+	return why
+}
--- a/internal/advise/plan.go
+++ b/internal/advise/plan.go
@@ -84,7 +84,7 @@
 	for _, v := range views {
 		fmt.Fprintf(w, "planner %s", v.Planner)
 		for _, m := range v.Members {
-			fmt.Fprintf(w, "\t%s %s (%d)", m.Name, m.Health, m.Incarnation)
+			fmt.Fprintf(w, "\t%s %s (%d)", m.Record.Name, m.Record.Health, m.Record.Incarnation)
 		}
 		fmt.Fprintln(w)
 	}
--- a/internal/decide/plan/plan.go
+++ b/internal/decide/plan/plan.go
@@ -17,3 +17,10 @@
 
 // floor is that part, and never more than the share.
 func floor(share int64) int64 { return share / Floor }
+
+// Away tells whether a planner that was to tick once a period was away between two ticks: what it then thinks of its pools is
+// old, so it starts anew.
+func Away(last, now, period int64) bool { return now-last > paused*period }
+
+// paused is in periods.
+const paused = 4
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"sedgestream/internal/decide/members"
 	"sedgestream/internal/decide/plan"
 	"sedgestream/internal/desk"
 	"sedgestream/internal/words"
@@ -24,6 +25,8 @@
 	Planners map[string]string // addresses by name
 	Term     time.Duration     // of leases
 	Period   time.Duration     // of reports
+	// Holds is what this router may do by what it knows of the others; nil if it takes no part in the membership.
+	Holds func() members.Holds
 }
 
 // Links are a router's connections to planners.
@@ -159,7 +162,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.desk.Now()
-	if l.heard = now; a.Live != nil {
+	if l.heard = now; a.Answered {
 		l.live = a.Live
 	}
 	for _, n := range a.Says {
@@ -168,6 +171,9 @@
 			s.lend(n.Node, h)
 		}
 	}
+	if s.post.Holds != nil && !s.post.Holds().Hints {
+		return
+	}
 	for _, n := range a.Condemned { // until the next report or so; after that by new words only
 		s.desk.Shun(n, now+2*int64(s.post.Period))
 	}
@@ -198,7 +204,11 @@
 		r.Beliefs = append(r.Beliefs, b)
 	}
 	asks := map[string][]words.NodeAsk{}
-	reached := s.reached(now)
+	holds := members.Holds{Pledge: true}
+	if s.post.Holds != nil {
+		holds = s.post.Holds()
+	}
+	reached := s.reached(now, holds.Owners)
 	for _, y := range young {
 		h := s.holders[y.Node]
 		if h == nil {
@@ -208,7 +218,7 @@
 			h = plan.NewHolder(s.life, int64(s.post.Term), s.born)
 			s.holders[y.Node] = h
 		}
-		if owner := plan.Owner(y.Group, reached); owner != "" && h.MayAsk(now, owner) && y.Share > 0 {
+		if owner := plan.Owner(y.Group, reached); owner != "" && holds.Pledge && h.MayAsk(now, owner) && y.Share > 0 {
 			asks[owner] = append(asks[owner], words.NodeAsk{Node: y.Node, Ask: h.Ask(now, owner, y.Share, y.Want, y.Least)})
 		}
 		s.lend(y.Node, h)
@@ -231,17 +241,20 @@
 	}
 }
 
-// reached are the planners that answer this router and that others believe in, by name. One that has been silent for a term
-// is not asked: its word would come too late.
-func (s *Links) reached(now int64) (names []string) {
+// reached are the planners that answer this router and that are in its view, or in that of the planner that it heard last if it
+// has none, by name. One that has been silent for a term is not asked: its word would come too late.
+func (s *Links) reached(now int64, view []string) (names []string) {
 	var newest *link
 	for _, l := range s.links {
 		if newest == nil || l.heard > newest.heard {
 			newest = l
 		}
 	}
+	if view == nil && newest != nil {
+		view = newest.live
+	}
 	for name, l := range s.links {
-		if now-l.heard < int64(s.post.Term) && (newest.live == nil || slices.Contains(newest.live, name)) {
+		if now-l.heard < int64(s.post.Term) && (view == nil || slices.Contains(view, name)) {
 			names = append(names, name)
 		}
 	}
--- /dev/null
+++ b/internal/member/exchange.go
@@ -0,0 +1,116 @@
+package member
+
+import (
+	"errors"
+	"net"
+	"time"
+
+	"sedgestream/internal/decide/members"
+	"sedgestream/internal/words"
+)
+
+// errFull is the answer to one exchange too many at a time.
+var errFull = errors.New("enough exchanges are under way here")
+
+// exchange compares all that is known with another's and takes over what differs, in pieces.
+func (s *Instance) exchange(address string) error {
+	d := net.Dialer{Timeout: patience, LocalAddr: s.from}
+	sock, err := d.Dial("tcp", address)
+	if err != nil {
+		return err
+	}
+	c := words.On(sock)
+	defer sock.Close()
+	if err := c.Write(&words.Word{Hello: &words.Hello{Version: words.Version, Kind: words.Member, Name: s.post.Name}}, patience); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	sums := s.members.Sums()
+	first := &words.Piece{From: s.members.Self(), Sums: sums[:], New: !s.members.Joined()}
+	s.tally.Exchanges++
+	s.mu.Unlock()
+	if err := c.Write(&words.Word{Piece: first}, patience); err != nil {
+		return err
+	}
+	buckets, err := s.hear(c)
+	if err != nil {
+		return err
+	}
+	return s.say(c, buckets)
+}
+
+// host is the other side of it.
+func (s *Instance) host(c *words.Conn, p *words.Piece) error {
+	if s.guests.Add(1) > mostGuests {
+		s.guests.Add(-1)
+		return errFull
+	}
+	defer s.guests.Add(-1)
+	s.mu.Lock()
+	// Whoever begins an exchange is there.
+	s.members.Merge(s.now(), p.From.Name, []members.Record{p.From})
+	buckets := s.members.Differing((*[members.Buckets]uint64)(p.Sums), p.New)
+	s.mu.Unlock()
+	if err := s.say(c, buckets); err != nil {
+		return err
+	}
+	_, err := s.hear(c)
+	return err
+}
+
+// say tells what is known in these buckets.
+func (s *Instance) say(c *words.Conn, buckets []int) error {
+	s.mu.Lock()
+	rs := s.members.Piece(s.now(), buckets)
+	self := s.members.Self()
+	s.mu.Unlock()
+	for first := true; first || len(rs) > 0; first = false {
+		n := min(len(rs), words.PieceRecords)
+		p := &words.Piece{From: self, Records: rs[:n], Last: n == len(rs)}
+		if first {
+			p.Buckets = buckets
+		}
+		before := c.Sent
+		if err := c.Write(&words.Word{Piece: p}, patience); err != nil {
+			return err
+		}
+		rs = rs[n:]
+		s.mu.Lock()
+		s.tally.PieceBytes += c.Sent - before
+		s.mu.Unlock()
+	}
+	return nil
+}
+
+// hear takes in what the other tells, up to its last piece, and gives the buckets that were told of.
+func (s *Instance) hear(c *words.Conn) (buckets []int, err error) {
+	for end := time.Now().Add(10 * patience); time.Now().Before(end); {
+		before := c.Got
+		w, err := c.Read(patience)
+		if err != nil {
+			return nil, err
+		}
+		switch {
+		case w.Hello != nil:
+			continue
+		case w.Bye != "":
+			return nil, errors.New(w.Bye)
+		case w.Piece == nil:
+			return nil, errors.New("no piece of an exchange")
+		}
+		if w.Piece.Buckets != nil {
+			buckets = w.Piece.Buckets
+		}
+		s.mu.Lock()
+		s.tally.PieceBytes += c.Got - before
+		if !s.closed {
+			s.members.Merge(s.now(), w.Piece.From.Name, append(w.Piece.Records, w.Piece.From))
+			s.arm()
+		}
+		s.mu.Unlock()
+		if w.Piece.Last {
+			return buckets, nil
+		}
+	}
+	return nil, errors.New("the exchange takes too long")
+}
--- /dev/null
+++ b/internal/member/member.go
@@ -0,0 +1,360 @@
+// Package member carries an instance's membership between processes: datagrams and full exchanges as internal/decide/members
+// decides them. One lock, one alarm that rings only when something is due, one task that reads datagrams.
+package member
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sedgestream/internal/decide/members"
+	"sedgestream/internal/words"
+)
+
+// Post is what an instance is told of its membership.
+type Post struct {
+	Name, Zone string
+	Kind       members.Kind
+	Listen     string   // datagrams, and exchanges unless another listener takes them
+	Advertise  string   // what others are told instead, where relays stand in the way; "" for where it listens
+	Seeds      []string // addresses of some that are probably there
+	Period     time.Duration
+	Forget     time.Duration
+}
+
+// Bounds of exchanges.
+const (
+	patience   = 2 * time.Second // of either side for the other's next frame
+	mostGuests = 4               // that are served at a time: hundreds may come at once, and each of them comes again
+	mostWord   = 64 << 10
+)
+
+// Instance is this process among the others.
+type Instance struct {
+	post     Post
+	log      *zap.Logger
+	sock     *net.UDPConn
+	from     *net.TCPAddr // that exchanges come from
+	start    time.Time
+	stop     chan struct{}
+	tasks    sync.WaitGroup
+	guests   atomic.Int32
+	listener net.Listener // nil where another one takes exchanges
+
+	mu       sync.Mutex
+	members  *members.Members
+	alarm    *time.Timer
+	view     members.View
+	viewed   func(members.View)
+	busy     bool // with an exchange of its own
+	closed   bool
+	tally    words.Tally
+	resolved map[string]*net.UDPAddr
+}
+
+// New listens for datagrams. Serve has to follow. Viewed is called with each new view, under no lock; nil if nobody builds on it.
+func New(p Post, log *zap.Logger, viewed func(members.View)) (*Instance, error) {
+	at, err := net.ResolveUDPAddr("udp", p.Listen)
+	if err != nil {
+		return nil, err
+	}
+	sock, err := net.ListenUDP("udp", at)
+	if err != nil {
+		return nil, err
+	}
+	at = sock.LocalAddr().(*net.UDPAddr)
+	s := &Instance{post: p, log: log, sock: sock, start: time.Now(), stop: make(chan struct{}), viewed: viewed,
+		from: &net.TCPAddr{IP: at.IP}, resolved: map[string]*net.UDPAddr{}}
+	if p.Advertise == "" {
+		s.post.Advertise = at.String()
+	}
+	self := members.Record{Name: p.Name, Address: s.post.Advertise, Zone: p.Zone, Kind: p.Kind, Life: rand.Uint64() | 1}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.members = members.New(self, p.Seeds, members.Pace{Period: int64(p.Period), Forget: int64(p.Forget)}, s.now(), rand.IntN, outside{s})
+	s.alarm = time.AfterFunc(time.Hour, s.wake)
+	s.view = s.members.View()
+	return s, nil
+}
+
+// Listen takes exchanges and operators at the datagrams' own address; for instances that have no other listener.
+func (s *Instance) Listen() (err error) {
+	s.listener, err = net.Listen("tcp", s.sock.LocalAddr().String())
+	return err
+}
+
+// Address is where datagrams come to.
+func (s *Instance) Address() string { return s.sock.LocalAddr().String() }
+
+// now is the steady clock, never 0.
+func (s *Instance) now() int64 { return int64(time.Since(s.start)) + int64(time.Hour) }
+
+// Serve goes on until Close.
+func (s *Instance) Serve() {
+	s.log.Info("member", zap.String("name", s.post.Name), zap.String("listen", s.Address()), zap.String("advertise", s.post.Advertise),
+		zap.Strings("seeds", s.post.Seeds))
+	if s.listener != nil {
+		s.task(s.accept)
+	}
+	s.mu.Lock()
+	s.arm()
+	s.mu.Unlock()
+	buf := make([]byte, mostWord)
+	for {
+		n, err := s.sock.Read(buf)
+		if errors.Is(err, net.ErrClosed) {
+			break
+		}
+		if err != nil {
+			continue // of a datagram of its own that nobody took
+		}
+		w, err := words.ReadDatagram(buf[:n])
+		s.mu.Lock()
+		s.tally.WordsIn++
+		if s.tally.BytesIn += int64(n); err != nil {
+			s.tally.Spoilt++
+		} else if !s.closed {
+			s.members.Heard(s.now(), w)
+			s.arm()
+		}
+		s.mu.Unlock()
+	}
+	s.tasks.Wait()
+}
+
+func (s *Instance) task(f func()) {
+	s.tasks.Add(1)
+	go func() {
+		defer s.tasks.Done()
+		f()
+	}()
+}
+
+// wake does what is due.
+func (s *Instance) wake() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.closed {
+		s.members.Tick(s.now())
+		s.arm()
+	}
+}
+
+// arm has the alarm ring when something is due next.
+func (s *Instance) arm() {
+	s.alarm.Reset(max(time.Duration(s.members.Next()-s.now()), time.Millisecond))
+}
+
+// Holds is what this instance may do by what it knows of others now.
+func (s *Instance) Holds() members.Holds {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members.Holds(s.now())
+}
+
+// Known is everyone that this instance knows of.
+func (s *Instance) Known() []members.Known {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members.All(s.now())
+}
+
+// Leave tells others that this instance goes, and gives the word some time to leave.
+func (s *Instance) Leave() {
+	s.mu.Lock()
+	s.members.Leave(s.now())
+	s.arm()
+	s.mu.Unlock()
+	time.Sleep(s.post.Period / 2)
+}
+
+// Close ends all.
+func (s *Instance) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return
+	}
+	s.closed = true
+	close(s.stop)
+	s.alarm.Stop()
+	s.sock.Close()
+	if s.listener != nil {
+		s.listener.Close()
+	}
+}
+
+// Fleet is how things stand, for operators.
+func (s *Instance) Fleet() *words.Fleet {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	f := &words.Fleet{Self: s.members.Self(), View: s.members.View(), Holds: s.members.Holds(now), All: s.members.All(now),
+		Strain: s.members.Strain(), Tally: s.tally, Uptime: int64(time.Since(s.start))}
+	f.View.Members = s.view.Members
+	if o, stands := s.members.Other(); stands {
+		o.Since, o.Last = now-o.Since, now-o.Last
+		f.Other = &o
+	}
+	return f
+}
+
+// Off carries out an operator's word.
+func (s *Instance) Off(o *words.Off) *words.Off {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	answer := &words.Off{Name: o.Name}
+	if s.members.Self().Name == o.Name {
+		s.log.Warn("leaves the fleet by an operator's word", zap.String("by", o.By))
+		s.members.Leave(s.now())
+		answer.Done = true
+	} else if answer.Done = s.members.CallOff(s.now(), o.Name, o.By); !answer.Done {
+		answer.Why = "it has not failed as far as this instance knows"
+	} else {
+		s.log.Warn("called off by an operator's word", zap.String("member", o.Name), zap.String("by", o.By))
+	}
+	s.arm()
+	return answer
+}
+
+// outside carries out what the module decides, under the lock.
+type outside struct{ *Instance }
+
+// Send sends a datagram. One that can't be sent is a lost one.
+func (s outside) Send(to string, w *members.Word) {
+	text, err := words.AppendDatagram(w)
+	if err != nil {
+		s.log.Error("a word that can't be sent", zap.Error(err))
+		return
+	}
+	at := s.resolved[to]
+	if at == nil {
+		if at, err = net.ResolveUDPAddr("udp", to); err != nil {
+			return
+		}
+		if len(s.resolved) > members.MostMembers {
+			clear(s.resolved)
+		}
+		s.resolved[to] = at
+	}
+	s.tally.WordsOut++
+	s.tally.BytesOut += int64(len(text))
+	s.sock.WriteToUDP(text, at)
+}
+
+// Exchange begins one, unless another is under way.
+func (s outside) Exchange(name, address string) {
+	if s.busy {
+		return
+	}
+	s.busy = true
+	s.task(func() {
+		err := s.exchange(address)
+		s.mu.Lock()
+		s.busy = false
+		s.mu.Unlock()
+		if err != nil {
+			s.log.Debug("no exchange", zap.String("with", name), zap.String("address", address), zap.Error(err))
+		}
+	})
+}
+
+// Changed logs what is believed of a member now, and why.
+func (s outside) Changed(c members.Change) {
+	fields := []zap.Field{zap.String("member", c.Record.Name), zap.Stringer("health", c.Record.Health), zap.Stringer("kind", c.Record.Kind),
+		zap.Uint32("incarnation", c.Record.Incarnation), zap.String("via", c.Via)}
+	if c.Known {
+		fields = append(fields, zap.Stringer("was", c.Was))
+	}
+	if c.Anew {
+		fields = append(fields, zap.Bool("new life", true))
+	}
+	if c.Record.Health >= members.Suspect {
+		fields = append(fields, zap.String("by", c.Record.By), zap.Strings("witnesses", c.By))
+		if c.Silent >= 0 {
+			fields = append(fields, zap.Duration("silent", time.Duration(c.Silent)))
+		}
+	}
+	s.log.Info("member", fields...)
+}
+
+// Viewed hands a new view on.
+func (s outside) Viewed(v members.View) {
+	s.view = v
+	s.log.Info("view", zap.Uint64("number", v.Number), zap.String("digest", fmt.Sprintf("%016x", v.Digest)), zap.Int("members", len(v.Members)),
+		zap.Stringer("situation", s.members.Situation(s.now())))
+	if s.viewed != nil {
+		s.task(func() { s.viewed(v) })
+	}
+}
+
+// Woke is told of an absence.
+func (s outside) Woke(away int64) {
+	s.log.Warn("this instance was away", zap.Duration("for", time.Duration(away)), zap.Uint32("incarnation", s.members.Self().Incarnation))
+}
+
+// Twin is told of another process with this name.
+func (s outside) Twin(other members.Record, yielded string) {
+	if yielded == "" {
+		s.log.Error("another process has this one's name and has to take another", zap.String("name", other.Name), zap.String("there", other.Address))
+		return
+	}
+	s.log.Error("another process has this one's name, so it takes another", zap.String("name", other.Name), zap.String("there", other.Address),
+		zap.String("now", yielded))
+}
+
+// accept takes exchanges and operators, where no other listener does.
+func (s *Instance) accept() {
+	for {
+		sock, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(s.post.Period)
+			continue
+		}
+		s.task(func() {
+			c := words.On(sock)
+			defer sock.Close()
+			w, err := c.Read(patience)
+			if err == nil && w.Hello == nil {
+				err = errors.New("hello comes first")
+			}
+			if err == nil {
+				err = c.Write(&words.Word{Hello: &words.Hello{Version: words.Version, Kind: words.Member, Name: s.post.Name}}, patience)
+			}
+			for err == nil {
+				if w, err = c.Read(patience); err == nil {
+					err = s.Take(c, w)
+				}
+			}
+			if !errors.Is(err, io.EOF) {
+				s.log.Info("hung up", zap.Stringer("from", sock.RemoteAddr()), zap.Error(err))
+				c.Bye(err)
+			}
+		})
+	}
+}
+
+// Take takes in a word of a connection that has greeted: of an exchange that another began, or an operator's.
+func (s *Instance) Take(c *words.Conn, w *words.Word) error {
+	switch {
+	case w.Piece != nil && len(w.Piece.Sums) == members.Buckets:
+		return s.host(c, w.Piece)
+	case w.Fleet != nil:
+		return c.Write(&words.Word{Fleet: s.Fleet()}, patience)
+	case w.Off != nil:
+		return c.Write(&words.Word{Off: s.Off(w.Off)}, patience)
+	case w.Bye != "":
+		return errors.New(w.Bye)
+	}
+	return errors.New("nobody may say this here")
+}
--- a/internal/planner/gossip.go
+++ b/internal/planner/gossip.go
@@ -10,7 +10,7 @@
 	"sedgestream/internal/words"
 )
 
-// gossip keeps a connection to another planner, over which this one says every period that it is here and what it knows.
+// gossip keeps a connection to another planner, over which this one says every period what it knows of nodes.
 func (s *Planner) gossip(name, address string) {
 	every := time.NewTicker(s.post.Period)
 	defer every.Stop()
@@ -29,13 +29,9 @@
 				continue
 			}
 		}
-		if c.Write(&words.Word{Gossip: s.say("")}, s.post.Period) != nil {
+		if c.Write(&words.Word{Gossip: s.say()}, s.post.Period) != nil {
 			c.Sock.Close()
 			c = nil
-			continue
-		}
-		for _, whom := range s.indirect(name) {
-			c.Write(&words.Word{Gossip: s.say(whom)}, s.post.Period)
 		}
 	}
 }
@@ -64,62 +60,16 @@
 				sock.Close()
 				return
 			}
-			if w.Gossip != nil {
-				s.heard(name, w.Gossip, nil)
-			}
 		}
 	})
 	return c
 }
 
 // say is what this planner tells another.
-func (s *Planner) say(whom string) *words.Gossip {
+func (s *Planner) say() *words.Gossip {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	g := &words.Gossip{Incarnation: s.members.Incarnation(), Whom: whom}
-	if whom != "" {
-		return g
-	}
-	g.Rumors = s.members.All()
+	g := &words.Gossip{}
 	s.board.Each(func(n plan.Notice) { g.Notices = append(g.Notices, n) })
 	return g
 }
-
-// indirect are those whom this peer is to be asked about: silent ones, each for as long as it is.
-func (s *Planner) indirect(via string) (whom []string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, silent := range s.members.Silent(s.now()) {
-		if silent != via {
-			whom = append(whom, silent)
-		}
-	}
-	return whom
-}
-
-// heard takes in what another planner says. Asked whether a third is there, this one tells when it has heard of it lately.
-func (s *Planner) heard(from string, g *words.Gossip, back *words.Conn) error {
-	s.mu.Lock()
-	now := s.now()
-	s.members.Heard(now, from, g.Incarnation)
-	if g.Here != "" {
-		s.members.Heard(now, g.Here, g.Theirs)
-	}
-	for _, r := range g.Rumors {
-		if s.members.Told(now, r) {
-			s.log.Warn("called gone; denied", zap.String("by", from), zap.Uint64("incarnation", s.members.Incarnation()))
-		}
-	}
-	s.posted(g.Notices)
-	var answer *words.Gossip
-	if g.Whom != "" && back != nil {
-		if at, fresh := s.members.Fresh(now, g.Whom); fresh {
-			answer = &words.Gossip{Incarnation: s.members.Incarnation(), Here: g.Whom, Theirs: at}
-		}
-	}
-	s.mu.Unlock()
-	if answer != nil {
-		return back.Write(&words.Word{Gossip: answer}, s.post.Period)
-	}
-	return nil
-}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -17,7 +17,9 @@
 
 	"go.uber.org/zap"
 
+	"sedgestream/internal/decide/members"
 	"sedgestream/internal/decide/plan"
+	"sedgestream/internal/member"
 	"sedgestream/internal/words"
 )
 
@@ -31,6 +33,11 @@
 	MostIn  int               // connections
 	Voices  time.Duration     // for which what forwarders saw counts
 	Removed time.Duration     // after which a node that left is let go of
+
+	// Of its membership, whose datagrams come to the port that it listens on.
+	Advertise     string
+	Seeds         []string
+	Probe, Forget time.Duration
 }
 
 // Planner is one.
@@ -38,13 +45,13 @@
 	post     Post
 	log      *zap.Logger
 	listener net.Listener
+	member   *member.Instance
 	start    time.Time
 	stop     chan struct{}
 	tasks    sync.WaitGroup
 
 	mu         sync.Mutex
 	life       plan.Life
-	members    *plan.Members
 	board      *plan.Board
 	changed    map[string]change // of the board, by node
 	changes    uint64
@@ -52,6 +59,7 @@
 	jury       *plan.Jury
 	forwarders map[plan.Life]*forwarder
 	conns      map[*conn]struct{}
+	last       int64 // when it last ticked
 }
 
 // change is when a notice last changed, by a count and by the clock.
@@ -84,12 +92,11 @@
 	s := &Planner{post: p, log: log, listener: l, start: time.Now(), stop: make(chan struct{}), board: plan.NewBoard(),
 		changed: map[string]change{}, jury: plan.NewJury(int64(p.Voices)),
 		forwarders: map[plan.Life]*forwarder{}, conns: map[*conn]struct{}{}}
-	s.members = plan.NewMembers(p.Name, 1, int64(p.Period), s.now(), rand.IntN)
-	for name := range p.Peers {
-		s.members.Meet(s.now(), name)
-	}
 	s.begin()
-	return s, nil
+	s.last = s.now()
+	s.member, err = member.New(member.Post{Name: p.Name, Kind: members.Planner, Listen: l.Addr().String(), Advertise: p.Advertise,
+		Seeds: p.Seeds, Period: p.Probe, Forget: p.Forget}, log, nil)
+	return s, err
 }
 
 // begin starts a life: what an earlier one lent is unknown from here on.
@@ -109,6 +116,7 @@
 		s.task(func() { s.gossip(name, address) })
 	}
 	s.task(s.tick)
+	s.task(s.member.Serve)
 	for {
 		sock, err := s.listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -141,7 +149,9 @@
 
 // Close ends all.
 func (s *Planner) Close() {
+	s.member.Leave()
 	close(s.stop)
+	s.member.Close()
 	s.listener.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -162,14 +172,11 @@
 		}
 		s.mu.Lock()
 		now := s.now()
-		t := s.members.Tick(now)
-		if t.Paused {
+		if plan.Away(s.last, now, int64(s.post.Period)) {
 			s.begin()
-			s.log.Warn("this planner was away; it starts anew", zap.Uint64("incarnation", s.members.Incarnation()))
-		}
-		for _, r := range t.Rumors {
-			s.log.Info("planner", zap.String("name", r.Name), zap.Stringer("health", r.Health))
+			s.log.Warn("this planner was away; it starts anew", zap.Duration("for", time.Duration(now-s.last)))
 		}
+		s.last = now
 		for node, p := range s.pools {
 			if p.Tidy(now); p.Idle() {
 				delete(s.pools, node)
@@ -295,7 +302,10 @@
 	case w.Report != nil && c.hello.Kind == words.Forwarder:
 		return c.Write(&words.Word{Answer: s.report(c, w.Report)}, s.post.Term)
 	case w.Gossip != nil && c.hello.Kind == words.Planner:
-		return s.heard(c.hello.Name, w.Gossip, c.Conn)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.posted(w.Gossip.Notices)
+		return nil
 	case w.Show != nil:
 		s.mu.Lock()
 		shown := s.show()
@@ -303,6 +313,8 @@
 		return c.Write(&words.Word{Show: shown}, s.post.Term)
 	case w.Bye != "":
 		return errors.New(w.Bye)
+	case w.Piece != nil && c.hello.Kind == words.Member, (w.Fleet != nil || w.Off != nil) && c.hello.Kind == words.Operator:
+		return s.member.Take(c.Conn, w)
 	}
 	err := fmt.Errorf("a %s may not say this", c.hello.Kind)
 	c.Bye(err)
@@ -333,6 +345,7 @@
 
 // report takes in what a forwarder says and answers its asks.
 func (s *Planner) report(c *conn, r *words.Report) *words.Answer {
+	holds := s.member.Holds()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
@@ -341,7 +354,7 @@
 	for _, v := range r.Saw {
 		s.jury.Saw(now, v.Node, c.hello.Life, v.Failed)
 	}
-	a := &words.Answer{Notices: s.news(c), Live: s.members.Live()}
+	a := &words.Answer{Notices: s.news(c), Answered: true, Live: holds.Owners}
 	for _, ask := range r.Asks {
 		p := s.pools[ask.Node]
 		if p == nil {
@@ -356,7 +369,7 @@
 		}
 	}
 	for node := range s.changed {
-		if s.jury.Condemned(now, node) {
+		if holds.Hints && s.jury.Condemned(now, node) {
 			a.Condemned = append(a.Condemned, node)
 		}
 	}
@@ -366,7 +379,7 @@
 // show is this planner's view.
 func (s *Planner) show() *words.Show {
 	now := s.now()
-	v := &words.Show{Planner: s.post.Name, Members: s.members.All()}
+	v := &words.Show{Planner: s.post.Name, Members: s.member.Known()}
 	s.board.Each(func(n plan.Notice) {
 		node := words.Node{Notice: n, Condemned: s.jury.Condemned(now, n.Node)}
 		if p := s.pools[n.Node]; p != nil {
--- a/internal/service/plan.go
+++ b/internal/service/plan.go
@@ -19,7 +19,7 @@
 )
 
 // Plan is a planner of a tier until one of the stops has come. What it has lent ends by itself.
-func Plan(log *zap.Logger, path, name string, stops <-chan os.Signal) error {
+func Plan(log *zap.Logger, path, name, advertise string, stops <-chan os.Signal) error {
 	tier, err := tierfile.Load(path)
 	if err != nil {
 		return fmt.Errorf("the tier is wrong:\n%w", err)
@@ -30,7 +30,8 @@
 	}
 	delete(tier.Planners, name)
 	p, err := planner.New(planner.Post{Name: name, Listen: listen, Peers: tier.Planners, Term: tier.Term, Period: tier.Period,
-		MostIn: tier.Connections, Voices: voicesTerms * tier.Term, Removed: time.Duration(removedTerms) * tier.Term}, log)
+		MostIn: tier.Connections, Voices: voicesTerms * tier.Term, Removed: time.Duration(removedTerms) * tier.Term,
+		Advertise: advertise, Seeds: tier.Seeds, Probe: tier.Probe, Forget: tier.Forget}, log)
 	if err != nil {
 		return err
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -14,11 +14,13 @@
 
 	"go.uber.org/zap"
 
+	"sedgestream/internal/decide/members"
 	"sedgestream/internal/decide/terms"
 	"sedgestream/internal/desk"
 	"sedgestream/internal/forward"
 	"sedgestream/internal/intake"
 	"sedgestream/internal/list"
+	"sedgestream/internal/member"
 	"sedgestream/internal/peer"
 	"sedgestream/internal/ring"
 	"sedgestream/internal/termsfile"
@@ -68,7 +70,8 @@
 	nodes   *trip.Nodes
 	intake  *intake.Intake
 	list    *list.Lister
-	links   *forward.Links             // to planners; nil without a tier
+	links   *forward.Links             // to planners; nil unless it forwards
+	member  *member.Instance           // among the other instances; nil unless the tier has members
 	peers   atomic.Pointer[peer.Peers] // nil while routers don't talk
 	stop    chan struct{}
 	tasks   sync.WaitGroup
@@ -78,6 +81,10 @@
 type Files struct {
 	Terms string
 	Tier  string
+	// Forward has the router heed the tier's planners; else it is only a member.
+	Forward bool
+	// Listen and Advertise are the addresses of its membership: where it listens, and what others are told instead.
+	Listen, Advertise string
 }
 
 // New is a service that has not started. Each word of reloads has it read its configuration again, and the file of terms
@@ -134,6 +141,9 @@
 	sig := stay(s, stops)
 	begun := time.Now()
 	s.enter(Leaving, zap.Stringer("signal", sig), zap.Int("clients", s.intake.Clients()), zap.Int("in hand", s.desk.InHand()))
+	if s.member != nil {
+		s.task(s.member.Leave)
+	}
 	s.leave(begun)
 	s.enter(Finishing, zap.Int("clients", s.intake.Clients()), zap.Int("in hand", s.desk.InHand()))
 	s.finish()
@@ -162,7 +172,16 @@
 		if err != nil {
 			return fmt.Errorf("the tier is wrong:\n%w", err)
 		}
-		s.links = forward.New(forward.Post{Name: p.Name, Planners: tier.Planners, Term: tier.Term, Period: tier.Period}, s.desk, s.log)
+		if err = s.join(tier); err != nil {
+			return err
+		}
+		if s.files.Forward {
+			post := forward.Post{Name: p.Name, Planners: tier.Planners, Term: tier.Term, Period: tier.Period}
+			if s.member != nil {
+				post.Holds = s.member.Holds
+			}
+			s.links = forward.New(post, s.desk, s.log)
+		}
 	}
 	s.list = list.New(p.Discovery, p.Known, time.Duration(c.ConnectTimeout), s.desk, s.log)
 	book, err := s.readTerms(p, nil)
@@ -184,6 +203,29 @@
 	if s.links != nil {
 		s.task(s.links.Serve)
 	}
+	if s.member != nil {
+		s.task(s.member.Serve)
+	}
+	return nil
+}
+
+// join has the router be a member of the fleet, if the tier says that routers are.
+func (s *Service) join(tier *tierfile.Tier) (err error) {
+	if !tier.Members {
+		return nil
+	}
+	kind := members.Router
+	if s.files.Forward {
+		kind = members.Forwarder
+	}
+	s.member, err = member.New(member.Post{Name: s.posting.Name, Zone: s.posting.Zone, Kind: kind, Listen: s.files.Listen,
+		Advertise: s.files.Advertise, Seeds: tier.Seeds, Period: tier.Probe, Forget: tier.Forget}, s.log, nil)
+	if err != nil {
+		return fmt.Errorf("members: %w", err)
+	}
+	if err = s.member.Listen(); err != nil {
+		return fmt.Errorf("members: %w", err)
+	}
 	return nil
 }
 
@@ -263,6 +305,9 @@
 	if s.links != nil {
 		s.links.Close()
 	}
+	if s.member != nil {
+		s.member.Close()
+	}
 	s.talk(false)
 	s.nodes.Close()
 	s.tasks.Wait()
--- a/internal/service/start.go
+++ b/internal/service/start.go
@@ -17,6 +17,7 @@
 type Posting struct {
 	Name, Listen, Discovery string
 	PeerListen, PeersAll    string
+	Zone                    string // its own, if the settings tell one
 	Peers                   []string
 	Seed                    uint64
 	Cores                   float64
@@ -94,6 +95,7 @@
 	settings := field.Object(v, "settings")
 	p.Contract = contract.Read(settings)
 	p.Contract.ListOnAsking = true // on sockets the list always has to be asked for
+	p.Zone = field.Str(settings, "locality", false)
 	p.Settings = map[string]string{}
 	settings.GetObject().Visit(func(key []byte, member *fastjson.Value) { p.Settings[string(key)] = member.String() })
 	return p, nil
--- a/internal/tierfile/tierfile.go
+++ b/internal/tierfile/tierfile.go
@@ -24,6 +24,12 @@
 	Term, Period time.Duration
 	Connections  int
 	Planners     map[string]string // addresses by name
+	// Of the membership: whether routers and forwarders take part, whom to find the others by (the planners are among them),
+	// and its times.
+	Members bool
+	Seeds   []string
+	Probe   time.Duration
+	Forget  time.Duration
 }
 
 // What stands where the file says nothing: a term that outlasts a second's trouble, and so many reports within it that one
@@ -34,6 +40,9 @@
 	usualConnections = 1024
 	shortestPeriod   = 10 * time.Millisecond
 	longestTerm      = time.Minute
+	periodsInProbe   = 4
+	usualForget      = 24 * time.Hour
+	leastForget      = 100 // probes: no word is late for longer
 )
 
 // Load reads the file. An error is paper.Faults if the file could be read at all.
@@ -82,6 +91,30 @@
 		}
 		t.Planners[name] = address
 	}
+	t.Probe, t.Forget = periodsInProbe*t.Period, usualForget
+	if m, ok := top["members"].(map[string]any); ok {
+		t.Members = true
+		top = m
+		span("period", &t.Probe)
+		span("forget", &t.Forget)
+		seeds, _ := m["seeds"].([]any)
+		for i, v := range seeds {
+			seed, _ := v.(string)
+			if _, _, err := net.SplitHostPort(seed); err != nil && seed != "" {
+				notes = append(notes, paper.Note{At: fmt.Sprintf("/members/seeds/%d", i), Reason: fmt.Sprintf("%q is no address with a port", seed)})
+			}
+			t.Seeds = append(t.Seeds, seed)
+		}
+	}
+	for _, address := range t.Planners {
+		t.Seeds = append(t.Seeds, address)
+	}
+	if t.Probe < shortestPeriod || t.Probe > longestTerm {
+		notes = append(notes, paper.Note{At: "/members/period", Reason: fmt.Sprintf("%s is not between %s and %s", t.Probe, shortestPeriod, longestTerm)})
+	}
+	if t.Forget < leastForget*t.Probe {
+		notes = append(notes, paper.Note{At: "/members/forget", Reason: fmt.Sprintf("%s is shorter than %d probes of %s", t.Forget, leastForget, t.Probe)})
+	}
 	s.Add(notes)
 	if err := s.Err(); err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/words/member.go
@@ -0,0 +1,119 @@
+package words
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"sedgestream/internal/decide/members"
+)
+
+// PieceRecords bounds the records of one frame of an exchange.
+const PieceRecords = 512
+
+// Piece is a part of a full exchange of members. The one that begins says its sums; the other answers with what it knows of
+// the buckets that differ, in pieces of which the last is marked so; the first answers likewise.
+type Piece struct {
+	From    members.Record   `msgpack:"f"`
+	Sums    []uint64         `msgpack:"s,omitempty"` // of each bucket
+	New     bool             `msgpack:"n,omitempty"` // it has just started, and wants all
+	Buckets []int            `msgpack:"b,omitempty"` // those that differ
+	Records []members.Record `msgpack:"r,omitempty"`
+	Last    bool             `msgpack:"l,omitempty"`
+}
+
+func (p *Piece) check() error {
+	errs := []error{Check(&p.From)}
+	if len(p.Sums) != 0 && len(p.Sums) != members.Buckets {
+		errs = append(errs, fmt.Errorf("words: %d sums, not %d", len(p.Sums), members.Buckets))
+	}
+	if len(p.Buckets) > members.Buckets || len(p.Records) > PieceRecords {
+		errs = append(errs, fmt.Errorf("words: %d buckets and %d records in a piece", len(p.Buckets), len(p.Records)))
+	}
+	for _, b := range p.Buckets {
+		if b < 0 || b >= members.Buckets {
+			errs = append(errs, fmt.Errorf("words: bucket %d", b))
+		}
+	}
+	for i := range p.Records {
+		errs = append(errs, Check(&p.Records[i]))
+	}
+	return errors.Join(errs...)
+}
+
+// Fleet is an instance's view, for operators; empty it asks for it. Times are ages in nanoseconds.
+type Fleet struct {
+	Self   members.Record  `msgpack:"s" json:"self"`
+	View   members.View    `msgpack:"v" json:"view"`
+	Holds  members.Holds   `msgpack:"h" json:"holds"`
+	All    []members.Known `msgpack:"a" json:"all"`
+	Strain int             `msgpack:"w" json:"strain"` // own health; 0 is well
+	// Other is a view of the same number with other members, which this one has heard of.
+	Other  *members.Contradiction `msgpack:"o,omitempty" json:"other,omitempty"`
+	Tally  Tally                  `msgpack:"t" json:"tally"`
+	Uptime int64                  `msgpack:"u" json:"uptime"`
+}
+
+// Tally counts what an instance has said and heard for its membership since its start.
+type Tally struct {
+	WordsOut   int64 `msgpack:"wo" json:"words_out"`
+	BytesOut   int64 `msgpack:"bo" json:"bytes_out"`
+	WordsIn    int64 `msgpack:"wi" json:"words_in"`
+	BytesIn    int64 `msgpack:"bi" json:"bytes_in"`
+	Exchanges  int64 `msgpack:"e" json:"exchanges"`
+	PieceBytes int64 `msgpack:"p" json:"piece_bytes"` // sent and got in exchanges
+	Spoilt     int64 `msgpack:"x" json:"spoilt"`      // words that were none of ours
+}
+
+// Off is an operator's word that a member goes: this instance itself if it has the name, else one that has failed and won't
+// come back. The answer has the same form and says what became of it.
+type Off struct {
+	Name string `msgpack:"n"`
+	By   string `msgpack:"b,omitempty"`
+	Done bool   `msgpack:"d,omitempty"`
+	Why  string `msgpack:"w,omitempty"` // it was not done
+}
+
+// Check holds a record against its bounds.
+func Check(r *members.Record) error {
+	if r.Name == "" || len(r.Name) > members.MostName || len(r.Address) > members.MostName || len(r.Zone) > members.MostZone ||
+		len(r.By) > members.MostName || r.Health > members.Left || r.Kind > members.Planner || r.Incarnation > members.MostIncarnation {
+		return fmt.Errorf("words: no record of a member: %.80q at %.80q, incarnation %d, health %d", r.Name, r.Address, r.Incarnation, r.Health)
+	}
+	return nil
+}
+
+// AppendDatagram is a word between members, as it is sent.
+func AppendDatagram(w *members.Word) ([]byte, error) {
+	text, err := msgpack.Marshal(w)
+	if err == nil && len(text)+1 > members.MostWord {
+		err = fmt.Errorf("words: a datagram of %d bytes", len(text)+1)
+	}
+	return append([]byte{Version}, text...), err
+}
+
+// ReadDatagram is the word that a datagram has. One of another version, or with anything out of its bounds, is an error as a whole.
+func ReadDatagram(text []byte) (*members.Word, error) {
+	if len(text) == 0 || len(text) > members.MostWord {
+		return nil, fmt.Errorf("words: a datagram of %d bytes", len(text))
+	}
+	if text[0] != Version {
+		return nil, fmt.Errorf("%w: %d, not %d", ErrVersion, text[0], Version)
+	}
+	w := &members.Word{}
+	if err := msgpack.Unmarshal(text[1:], w); err != nil {
+		return nil, fmt.Errorf("words: no word of ours: %w", err)
+	}
+	errs := []error{Check(&w.From)}
+	if w.Kind > members.News || len(w.Rumors) > members.MostRumors || w.Whom == nil && (w.Kind == members.AskFor || w.Kind == members.Nack) {
+		errs = append(errs, fmt.Errorf("words: a datagram of kind %d with %d rumors", w.Kind, len(w.Rumors)))
+	}
+	if w.Whom != nil {
+		errs = append(errs, Check(w.Whom))
+	}
+	for i := range w.Rumors {
+		errs = append(errs, Check(&w.Rumors[i]))
+	}
+	return w, errors.Join(errs...)
+}
--- a/internal/words/words.go
+++ b/internal/words/words.go
@@ -15,11 +15,12 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"sedgestream/internal/decide/members"
 	"sedgestream/internal/decide/plan"
 )
 
 // Version is that of the words. Another one ends the connection.
-const Version = 1
+const Version = 2
 
 // Bounds of a frame.
 const (
@@ -33,6 +34,7 @@
 	Forwarder = "forwarder"
 	Planner   = "planner"
 	Operator  = "operator" // asks to be shown
+	Member    = "member"   // exchanges all that is known of members
 )
 
 // Word is a frame. Of its parts those are there that there is anything to say of.
@@ -42,6 +44,9 @@
 	Answer *Answer `msgpack:"a,omitempty"`
 	Gossip *Gossip `msgpack:"g,omitempty"`
 	Show   *Show   `msgpack:"s,omitempty"`
+	Piece  *Piece  `msgpack:"p,omitempty"`
+	Fleet  *Fleet  `msgpack:"f,omitempty"`
+	Off    *Off    `msgpack:"o,omitempty"`
 	Bye    string  `msgpack:"b,omitempty"` // why the connection ends
 }
 
@@ -87,7 +92,8 @@
 	Says      []NodeSay     `msgpack:"s,omitempty"`
 	Notices   []plan.Notice `msgpack:"n,omitempty"`
 	Condemned []string      `msgpack:"c,omitempty"` // all of them, whenever there is an answer to a report
-	Live      []string      `msgpack:"p,omitempty"` // planners
+	Answered  bool          `msgpack:"d,omitempty"` // it answers a report, and is not only news
+	Live      []string      `msgpack:"p,omitempty"` // planners of this one's view; none while it has no view to go by
 }
 
 // NodeSay answers an ask.
@@ -98,18 +104,13 @@
 
 // Gossip is what planners say to each other.
 type Gossip struct {
-	Incarnation uint64        `msgpack:"i"`
-	Rumors      []plan.Rumor  `msgpack:"r,omitempty"`
-	Notices     []plan.Notice `msgpack:"n,omitempty"`
-	Whom        string        `msgpack:"w,omitempty"` // who is to be asked whether it is there
-	Here        string        `msgpack:"e,omitempty"` // who answered to that
-	Theirs      uint64        `msgpack:"t,omitempty"` // and its incarnation
+	Notices []plan.Notice `msgpack:"n,omitempty"`
 }
 
 // Show is a planner's view, for operators; empty it asks for it.
 type Show struct {
 	Planner    string            `msgpack:"p" json:"planner"`
-	Members    []plan.Rumor      `msgpack:"m,omitempty" json:"members"`
+	Members    []members.Known   `msgpack:"m,omitempty" json:"members"`
 	Nodes      []Node            `msgpack:"n,omitempty" json:"nodes"`
 	Forwarders []ForwarderBelief `msgpack:"f,omitempty" json:"forwarders"`
 }
@@ -162,7 +163,7 @@
 			errs = append(errs, fmt.Errorf("%w: %d, not %d", ErrVersion, h.Version, Version))
 		}
 		errs = append(errs, name(h.Name))
-		if h.Kind != Forwarder && h.Kind != Planner && h.Kind != Operator {
+		if h.Kind != Forwarder && h.Kind != Planner && h.Kind != Operator && h.Kind != Member {
 			errs = append(errs, fmt.Errorf("words: a %.64q", h.Kind))
 		}
 	}
@@ -188,13 +189,13 @@
 		}
 	}
 	if g := w.Gossip; g != nil {
-		errs = append(errs, count("rumors", len(g.Rumors)), name(g.Whom), name(g.Here))
 		notices(g.Notices)
-		for _, r := range g.Rumors {
-			if errs = append(errs, name(r.Name)); r.Health > plan.Left {
-				errs = append(errs, fmt.Errorf("words: health %d", r.Health))
-			}
-		}
+	}
+	if p := w.Piece; p != nil {
+		errs = append(errs, p.check())
+	}
+	if o := w.Off; o != nil {
+		errs = append(errs, name(o.Name), name(o.By))
 	}
 	return errors.Join(errs...)
 }
