--- a/internal/decide/members/members.go
+++ b/internal/decide/members/members.go
@@ -93,7 +93,7 @@
 func (r *Record) live() bool { return r.Health < Failed }
 
 // size bounds the record's bytes in a datagram.
-func (r *Record) size() int { return 24 + len(r.Name) + len(r.Address) + len(r.Zone) + len(r.By) }
+func (r *Record) size() int { return 32 + len(r.Name) + len(r.Address) + len(r.Zone) + len(r.By) }
 
 // Pace is how fast an instance goes about it.
 type Pace struct {
--- a/internal/decide/members/probe.go
+++ b/internal/decide/members/probe.go
@@ -55,6 +55,12 @@
 
 // Next is when Tick has to be called at the latest; words may come before.
 func (m *Members) Next() int64 {
+	if m.left { // nothing but its own leaving is left to tell
+		if len(m.rumors) > 0 {
+			return m.gossip
+		}
+		return math.MaxInt64
+	}
 	at := min(m.round, m.mend, m.sync, m.sweep, m.settles())
 	if len(m.rumors) > 0 {
 		at = min(at, m.gossip)
@@ -82,7 +88,6 @@
 		m.tell(now)
 	}
 	if m.left {
-		m.round, m.mend, m.sync = now+m.pace.Period, now+m.pace.Period, now+m.pace.Period
 		return
 	}
 	m.relays = slices.DeleteFunc(m.relays, func(r relay) bool {
--- a/internal/decide/members/rumor.go
+++ b/internal/decide/members/rumor.go
@@ -155,3 +155,15 @@
 		m.compare(now, p, w.Sum)
 	}
 }
+
+// Size bounds the word's bytes as a datagram.
+func (w *Word) Size() int {
+	n := head + w.From.size()
+	if w.Whom != nil {
+		n += w.Whom.size()
+	}
+	for i := range w.Rumors {
+		n += w.Rumors[i].size()
+	}
+	return n
+}
--- a/internal/decide/members/view.go
+++ b/internal/decide/members/view.go
@@ -136,3 +136,6 @@
 	}
 	return names
 }
+
+// Stands are the number and the digest of the view that stands.
+func (m *Members) Stands() (number, digest uint64) { return m.number, m.digest }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -149,7 +149,7 @@
 
 // arm has the alarm ring when something is due next.
 func (s *Instance) arm() {
-	s.alarm.Reset(max(time.Duration(s.members.Next()-s.now()), time.Millisecond))
+	s.alarm.Reset(min(max(time.Duration(s.members.Next()-s.now()), time.Millisecond), time.Hour))
 }
 
 // Holds is what this instance may do by what it knows of others now.
--- a/internal/words/member.go
+++ b/internal/words/member.go
@@ -1,6 +1,7 @@
 package words
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 
@@ -86,11 +87,15 @@
 
 // AppendDatagram is a word between members, as it is sent.
 func AppendDatagram(w *members.Word) ([]byte, error) {
-	text, err := msgpack.Marshal(w)
-	if err == nil && len(text)+1 > members.MostWord {
-		err = fmt.Errorf("words: a datagram of %d bytes", len(text)+1)
+	text := bytes.NewBuffer(make([]byte, 0, 256))
+	text.WriteByte(Version)
+	e := msgpack.NewEncoder(text)
+	e.UseCompactInts(true)
+	err := e.Encode(w)
+	if err == nil && text.Len() > members.MostWord {
+		err = fmt.Errorf("words: a datagram of %d bytes", text.Len())
 	}
-	return append([]byte{Version}, text...), err
+	return text.Bytes(), err
 }
 
 // ReadDatagram is the word that a datagram has. One of another version, or with anything out of its bounds, is an error as a whole.
