--- a/internal/decide/members/members.go
+++ b/internal/decide/members/members.go
@@ -166,7 +166,7 @@
 	relays   []relay
 	rivals   []rival
 	unequal  int
-	promised int64 // when Tick was to be called at the latest
+	promised int64 // when Tick was to be called at the latest, as Next said
 
 	round, gossip, mend, sync, sweep int64 // when each is due
 
@@ -190,8 +190,8 @@
 	// Not all that start together speak at the same moments.
 	m.round = now + m.part(pace.Period)
 	m.gossip, m.mend, m.sync, m.sweep = m.round, now, m.round+m.part(syncEvery*pace.Period), now+pace.Forget/8
-	m.promised = m.Next()
 	m.begin(now)
+	m.Next()
 	return m
 }
 
--- /dev/null
+++ b/internal/decide/members/members_test.go
@@ -0,0 +1,381 @@
+package members
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+const ms = int64(1e6)
+
+// desk is an Outside that keeps what it was told to do.
+type desk struct {
+	sent    []sentWord
+	changed []Change
+	views   []View
+	asked   []string // exchanges
+	woke    int
+	twins   []string
+}
+
+type sentWord struct {
+	to string
+	w  Word
+}
+
+func (d *desk) Send(to string, w *Word)       { d.sent = append(d.sent, sentWord{to, *w}) }
+func (d *desk) Exchange(_, address string)    { d.asked = append(d.asked, address) }
+func (d *desk) Changed(c Change)              { d.changed = append(d.changed, c) }
+func (d *desk) Viewed(v View)                 { d.views = append(d.views, v) }
+func (d *desk) Woke(int64)                    { d.woke++ }
+func (d *desk) Twin(_ Record, yielded string) { d.twins = append(d.twins, yielded) }
+func (d *desk) to(address string) (ws []Word) {
+	for _, s := range d.sent {
+		if s.to == address {
+			ws = append(ws, s.w)
+		}
+	}
+	return ws
+}
+
+var pace = Pace{Period: 100 * ms, Forget: 600_000 * ms}
+
+func rec(name string, life uint64, incarnation uint32, h Health) Record {
+	return Record{Name: name, Address: "@" + name, Life: life, Incarnation: incarnation, Health: h}
+}
+
+// among is an instance that knows some others, at a time when its start is long over.
+func among(seed uint64, names ...string) (*Members, *desk, int64) {
+	d, now := &desk{}, int64(1e12)
+	m := New(rec("me", 50, 1, Alive), []string{"@seed"}, pace, now, rand.New(rand.NewPCG(seed, 1)).IntN, d)
+	for i, n := range names {
+		m.Heard(now, &Word{Kind: News, From: rec(n, uint64(100+i), 3, Alive)})
+	}
+	return m, d, now
+}
+
+// run has time pass, with whoever answers doing so.
+func (m *Members) run(d *desk, now, until int64, answers func(name string) bool) int64 {
+	for ; now < until; now = max(now+1, min(m.Next(), until)) {
+		before := len(d.sent)
+		m.Tick(now)
+		for _, s := range d.sent[before:] {
+			name := s.to[1:]
+			if p := m.of[name]; s.w.Kind == Ping && p != nil && answers(name) {
+				m.Heard(now, &Word{Kind: Ack, Seq: s.w.Seq, From: rec(name, p.Life, p.Incarnation, Alive)})
+			}
+		}
+	}
+	return now
+}
+
+// An old word changes nothing, however late it is: of one that failed or left, of one in a new life, or of one that cleared itself.
+func TestOldWords(t *testing.T) {
+	m, _, now := among(1, "a", "b")
+	old := m.of["a"].Record
+	m.told(now, rec("a", 100, 3, Failed), "b")
+	m.told(now, old, "b")
+	if h := m.of["a"].Health; h != Failed {
+		t.Errorf("an old word brought a failed one back: %v", h)
+	}
+	m.told(now, rec("b", 101, 3, Left), "b")
+	m.told(now, rec("b", 101, 3, Suspect), "a")
+	if h := m.of["b"].Health; h != Left || m.Senders() != 2 { // this one, and the failed one
+		t.Errorf("one that left is %v, and %d may send", h, m.Senders())
+	}
+	if m.told(now, rec("a", 7, 4, Alive), "a"); m.of["a"].Health != Alive {
+		t.Error("a new life with a higher incarnation is not believed")
+	}
+	if m.told(now, rec("a", 100, 3, Failed), "b"); m.of["a"].Health != Alive {
+		t.Error("the death of an earlier life ended the new one")
+	}
+}
+
+// A new life whose incarnation is too low is told what it has to outdo, and does.
+func TestNewLifeOutdoesTheOld(t *testing.T) {
+	m, d, now := among(1, "a")
+	m.told(now, rec("a", 100, 9, Failed), "a")
+	m.Heard(now, &Word{Kind: Ping, Seq: 4, From: rec("a", 2, 1, Alive)})
+	answer := d.to("@a")[0]
+	if m.of["a"].Health != Failed || len(answer.Rumors) == 0 || answer.Rumors[0].Incarnation != 9 {
+		t.Fatalf("%v; told %+v", m.of["a"].Health, answer.Rumors)
+	}
+	a := New(rec("a", 2, 1, Alive), nil, pace, now, rand.IntN, &desk{})
+	a.Heard(now, &answer)
+	if m.Heard(now, &Word{Kind: Ping, Seq: 5, From: a.Self()}); m.of["a"].Health != Alive || m.of["a"].Life != 2 {
+		t.Errorf("%+v is not believed", a.Self())
+	}
+}
+
+// One that hears that it is suspected clears itself, and others then believe that.
+func TestClearsItself(t *testing.T) {
+	m, _, now := among(1, "a", "b")
+	m.Heard(now, &Word{Kind: News, From: rec("a", 100, 3, Alive), Rumors: []Record{rec("me", 50, 1, Suspect)}})
+	if s := m.Self(); s.Incarnation != 2 || s.Health != Alive || m.Strain() == 0 {
+		t.Errorf("%+v, strain %d", s, m.Strain())
+	}
+	if m.Heard(now, &Word{Kind: News, From: rec("a", 100, 3, Alive), Rumors: []Record{rec("me", 50, 1, Failed)}}); m.Self().Incarnation != 2 {
+		t.Error("an old accusation raised it again")
+	}
+}
+
+// A silent one is asked through others, then suspected, then called failed; the sooner the more confirm it.
+func TestSuspicion(t *testing.T) {
+	took := map[int]int64{}
+	for _, confirm := range []int{0, 1, 3} {
+		m, d, now := among(3, "a", "b", "c", "d", "e", "f")
+		start := now
+		for m.of["a"].Health != Suspect && now < start+50*pace.Period {
+			now = m.run(d, now, now+pace.Period, func(n string) bool { return n != "a" })
+		}
+		if !slices.ContainsFunc(d.sent, func(s sentWord) bool { return s.w.Kind == AskFor && s.w.Whom.Name == "a" }) {
+			t.Fatal("nobody was asked to ask")
+		}
+		for i, by := range []string{"b", "c", "d"}[:confirm] {
+			for range 3 { // the same accuser counts once
+				m.told(now, Record{Name: "a", Address: "@a", Life: 100, Incarnation: 3, Health: Suspect, By: by}, "f")
+			}
+			if len(m.of["a"].by) != i+2 {
+				t.Fatalf("%d accusers after %d", len(m.of["a"].by), i+1)
+			}
+		}
+		for m.of["a"].Health != Failed && now < start+300*pace.Period {
+			now = m.run(d, now, now+pace.Period, func(n string) bool { return n != "a" })
+		}
+		took[confirm] = now - m.of["a"].begun
+	}
+	if !(took[3] < took[1] && took[1] < took[0]) {
+		t.Errorf("suspicions took %v by their confirmations", took)
+	}
+}
+
+// An instance that can't hear anyone waits longer before it accuses the next.
+func TestOwnHealth(t *testing.T) {
+	m, d, now := among(5, "a", "b", "c", "d")
+	m.run(d, now, now+20*pace.Period, func(string) bool { return false })
+	if m.Strain() < 3 || m.slow(pace.Period) < 4*pace.Period {
+		t.Errorf("strain %d", m.Strain())
+	}
+	m, d, now = among(5, "a", "b", "c", "d")
+	if m.run(d, now, now+20*pace.Period, func(string) bool { return true }); m.Strain() != 0 || slices.ContainsFunc(d.changed, func(c Change) bool { return c.Record.Health != Alive }) {
+		t.Errorf("strain %d, %+v", m.Strain(), d.changed)
+	}
+}
+
+// One that was away accuses nobody for the words that it missed, and says so by a new incarnation.
+func TestAway(t *testing.T) {
+	m, d, now := among(7, "a", "b", "c")
+	now = m.run(d, now, now+10*pace.Period, func(n string) bool { return n != "a" }) // a is suspected by now
+	inc, wait := m.Self().Incarnation, m.of["a"].ends-now
+	if m.of["a"].Health != Suspect {
+		t.Fatal(m.of["a"].Health)
+	}
+	now += 50 * pace.Period
+	m.Tick(now)
+	if d.woke != 1 || m.Self().Incarnation != inc+1 || m.of["a"].Health != Suspect || m.of["a"].ends-now < wait-2*pace.Period {
+		t.Errorf("woke %d, incarnation %d, %v that ends in %v", d.woke, m.Self().Incarnation, m.of["a"].Health, m.of["a"].ends-now)
+	}
+	if h := m.Holds(now); h.Situation != Woke || h.Pledge || h.Hints {
+		t.Errorf("%+v", h)
+	}
+}
+
+// Two processes of one name are told apart: only an answer to a question proves a twin, and the lower life takes another name.
+func TestTwins(t *testing.T) {
+	now := int64(1e12)
+	d1, d2 := &desk{}, &desk{}
+	low := New(Record{Name: "n", Address: "@1", Life: 10}, nil, pace, now, rand.IntN, d1)
+	high := New(Record{Name: "n", Address: "@2", Life: 20}, nil, pace, now, rand.IntN, d2)
+	low.Heard(now, &Word{Kind: News, From: rec("x", 1, 1, Alive), Rumors: []Record{high.Self()}})
+	if len(d1.twins) != 0 || low.Self().Incarnation != 2 {
+		t.Fatal("a rumor alone proves nothing, and is outdone")
+	}
+	old := d1.to("@2")
+	low.Heard(now, &Word{Kind: Ack, Seq: old[0].Seq + 1000, From: high.Self()}) // of no question of this one
+	if len(d1.twins) != 0 {
+		t.Fatal("an old answer proves nothing")
+	}
+	high.Heard(now, &old[0])
+	for _, w := range d2.to("@1") {
+		low.Heard(now, &w)
+	}
+	if !slices.Equal(d1.twins, []string{"n~00000a"}) || low.Self().Name != "n~00000a" {
+		t.Fatalf("%q, %+v", d1.twins, low.Self())
+	}
+	if r, known := low.Find("n"); !known || r.Life != 20 {
+		t.Errorf("%+v", r)
+	}
+	if _, claims := high.Find("n~00000a"); claims {
+		t.Error("known before it has said so")
+	}
+	// Where the address is this one's own it is an earlier life, and nobody is asked.
+	d1.sent = nil
+	if low.told(now, Record{Name: "n~00000a", Address: "@1", Life: 3, Incarnation: 7}, "x"); len(d1.sent) > 0 || low.Self().Incarnation != 8 {
+		t.Errorf("%+v, %+v", d1.sent, low.Self())
+	}
+}
+
+// Views of one number with other members are found, and said in what holds; equal ones take the highest number.
+func TestContradiction(t *testing.T) {
+	m, d, now := among(11, "a", "b", "c", "d")
+	now = m.run(d, now, now+20*pace.Period, func(string) bool { return true })
+	number, digest := m.Stands()
+	a := rec("a", 100, 3, Alive)
+	for range 8 {
+		now = m.run(d, now, now+pace.Period, func(string) bool { return true })
+		m.Heard(now, &Word{Kind: News, From: a, View: number, Digest: digest + 1})
+	}
+	if o, stands := m.Other(); !stands || o.Who != "a" || m.Holds(now).Situation != Contradicted {
+		t.Errorf("%+v %v %+v", o, stands, m.Holds(now))
+	}
+	m.Heard(now, &Word{Kind: News, From: a, View: number + 5, Digest: digest})
+	if n, _ := m.Stands(); n != number+5 || m.Holds(now).Situation != Whole {
+		t.Errorf("view %d after %d, %+v", n, number+5, m.Holds(now))
+	}
+	m.Heard(now, &Word{Kind: News, From: a, View: 1 << 60, Digest: digest})
+	if n, _ := m.Stands(); n != number+5 {
+		t.Errorf("a number out of bounds is believed: %d", n)
+	}
+}
+
+// What holds in each situation, by the table of the design note.
+func TestHolds(t *testing.T) {
+	names := []string{"a", "b", "c", "d", "e", "f"}
+	all := func(string) bool { return true }
+	m, d, now := among(13, names...)
+	m.of["f"].Kind = Planner
+	if h := m.Holds(now); h.Situation != Started || h.Pledge || h.Hints || h.Owners != nil {
+		t.Errorf("started: %+v", h)
+	}
+	now = m.run(d, now, now+20*pace.Period, all)
+	if h := m.Holds(now); h.Situation != Whole || !h.Pledge || !h.Hints || !slices.Equal(h.Owners, []string{"f"}) || h.Senders != 7 {
+		t.Errorf("whole: %+v", h)
+	}
+	now = m.run(d, now, now+400*pace.Period, func(n string) bool { return n > "d" })
+	if h := m.Holds(now); h.Situation != Minority || !h.Pledge || h.Hints || !slices.Equal(h.Owners, []string{"f"}) || h.Senders != 7 {
+		t.Errorf("minority: %+v", h)
+	}
+	now = m.run(d, now, now+600*pace.Period, func(string) bool { return false })
+	if h := m.Holds(now); h.Situation != Alone || h.Hints || !slices.Equal(h.Owners, []string{"f"}) || h.Senders != 7 {
+		t.Errorf("alone: %+v", h)
+	}
+	for _, n := range names[1:] { // what an operator says shrinks it
+		if !m.CallOff(now, n, "op") {
+			t.Errorf("%s is not called off", n)
+		}
+	}
+	if m.Senders() != 2 || m.CallOff(now, "nobody", "op") {
+		t.Errorf("%d may be sending", m.Senders())
+	}
+}
+
+// Whoever has left says nothing more of itself, and has nothing due for ever.
+func TestLeave(t *testing.T) {
+	m, d, now := among(15, "a", "b", "c")
+	m.told(now, rec("a", 100, 3, Suspect), "b")
+	m.Leave(now)
+	for range 1000 {
+		if now = m.Next(); now == 1<<63-1 {
+			break
+		}
+		m.Tick(now)
+	}
+	if now != 1<<63-1 {
+		t.Error("still due")
+	}
+	if ws := d.to("@b"); len(ws) == 0 || ws[len(ws)-1].From.Health != Left {
+		t.Error("b was not told")
+	}
+	m.Heard(now, &Word{Kind: News, From: rec("b", 101, 3, Alive), Rumors: []Record{rec("me", 50, 1, Failed)}})
+	if m.Self().Health != Left {
+		t.Error("it came back")
+	}
+}
+
+// Whatever words come in whatever order, the ring, the lost, the sums and the queue agree with what is believed, and no word is
+// longer than a datagram.
+func TestAnyWords(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d, now := &desk{}, int64(1e12)
+		p := pace
+		p.Forget = 100 * p.Period
+		m := New(rec("me", 50, 1, Alive), []string{"@a", "@me"}, p, now, rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 2)).IntN, d)
+		names := []string{"a", "b", "c", "d", "e", "me"}
+		record := rapid.Custom(func(t *rapid.T) Record {
+			return Record{Name: rapid.SampledFrom(names).Draw(t, "name"), Address: "@" + rapid.SampledFrom(names).Draw(t, "address"), Life: rapid.Uint64Range(48, 52).Draw(t, "life"),
+				Incarnation: rapid.Uint32Range(0, 5).Draw(t, "incarnation"), Health: Health(rapid.IntRange(0, 3).Draw(t, "health")),
+				By: rapid.SampledFrom(names).Draw(t, "by"), Age: rapid.Uint32Range(0, 3).Draw(t, "age")}
+		})
+		best := map[string]Record{}
+		t.Repeat(map[string]func(*rapid.T){
+			"word": func(t *rapid.T) {
+				w := &Word{Kind: Words(rapid.IntRange(0, 4).Draw(t, "kind")), Seq: m.seq - uint64(rapid.IntRange(0, 3).Draw(t, "seq")), From: record.Draw(t, "from"),
+					View: rapid.Uint64Range(0, 9).Draw(t, "view"), Rumors: rapid.SliceOfN(record, 0, 4).Draw(t, "rumors")}
+				if r := record.Draw(t, "whom"); w.Kind == AskFor || w.Kind == Nack || r.Life == 48 {
+					w.Whom = &r
+				}
+				m.Heard(now, w)
+			},
+			"piece": func(t *rapid.T) {
+				m.Merge(now, "a", rapid.SliceOfN(record, 0, 4).Draw(t, "piece"))
+				sums := m.Sums()
+				m.Piece(now, m.Differing(&sums, true))
+			},
+			"time": func(t *rapid.T) {
+				for range 5 {
+					now = max(now+1, min(m.Next(), now+int64(rapid.IntRange(1, 30).Draw(t, "periods"))*p.Period))
+					m.Tick(now)
+				}
+			},
+			"off": func(t *rapid.T) { m.CallOff(now, rapid.SampledFrom(names).Draw(t, "name"), "op") },
+			"leave": func(t *rapid.T) {
+				if rapid.IntRange(0, 30).Draw(t, "rarely") == 0 {
+					m.Leave(now)
+				}
+			},
+			"": func(t *rapid.T) {
+				sum, set, live, lost := uint64(0), uint64(0), 0, 0
+				check := &Members{}
+				check.count(m.mine)
+				for _, p := range m.of {
+					check.count(p)
+					list := m.lost
+					if p.live() {
+						list = m.ring
+						live++
+					} else {
+						lost++
+					}
+					if list[p.slot] != p || (p.queued >= 0 && m.rumors[p.queued] != p) || (p.Health == Suspect) != slices.Contains(m.suspects, p) {
+						t.Fatalf("%+v is out of place", p)
+					}
+					// Belief goes only forward, as long as one is remembered.
+					if b, known := best[p.Name]; known && b.newer(&p.Record) && now-p.since < p.since {
+						if b.Incarnation > p.Incarnation && p.live() && b.live() {
+							t.Fatalf("%+v after %+v", p.Record, b)
+						}
+					}
+					best[p.Name] = p.Record
+				}
+				for name := range best {
+					if m.of[name] == nil {
+						delete(best, name)
+					}
+				}
+				if sum, set = check.sum, check.set; sum != m.sum || set != m.set || check.buckets != m.buckets || live != len(m.ring) || lost != len(m.lost) {
+					t.Fatalf("sums or lists are off: %d live, %d lost", live, lost)
+				}
+				for _, s := range d.sent {
+					if s.w.Size() > MostWord {
+						t.Fatalf("a word of %d bytes", s.w.Size())
+					}
+				}
+				if d.sent = d.sent[:0]; m.Senders() < m.Live() {
+					t.Fatal(m.Senders(), m.Live())
+				}
+			},
+		})
+	})
+}
--- a/internal/decide/members/probe.go
+++ b/internal/decide/members/probe.go
@@ -53,8 +53,15 @@
 	at        int64
 }
 
-// Next is when Tick has to be called at the latest; words may come before.
+// Next is when Tick has to be called at the latest; words may come before. A call that comes later counts as this instance's
+// own slowness, so Next has to be asked after whatever else was called.
 func (m *Members) Next() int64 {
+	m.promised = m.due()
+	return m.promised
+}
+
+// due is when anything is.
+func (m *Members) due() int64 {
 	if m.left { // nothing but its own leaving is left to tell
 		if len(m.rumors) > 0 {
 			return m.gossip
@@ -83,7 +90,6 @@
 // Tick does what is due.
 func (m *Members) Tick(now int64) {
 	m.awake(now)
-	defer func() { m.promised = m.Next() }()
 	if m.gossip <= now {
 		m.tell(now)
 	}
--- a/internal/decide/members/view.go
+++ b/internal/decide/members/view.go
@@ -88,7 +88,7 @@
 	m.number, m.digest, m.other = m.high, m.set, Contradiction{}
 	v := m.View()
 	if !m.few() {
-		m.whole = v.Of(Planner)
+		m.whole = v.Of(Planner) // nil if there is none: then those that answer count
 	}
 	m.out.Viewed(v)
 }
--- /dev/null
+++ b/internal/lab/memberscost/main.go
@@ -0,0 +1,203 @@
+// Command memberscost measures the membership: how soon a death is known and how often live ones are called failed, against plain
+// SWIM and against heartbeats of all to all; what it costs by size; how soon halves agree after a split; and what processes of
+// the program cost that carry nothing. It prints tables for docs/measured/members.md.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"log"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"time"
+
+	"sedgestream/internal/lab/day"
+	"sedgestream/internal/lab/fleet"
+	"sedgestream/internal/lab/membersim"
+	"sedgestream/internal/standin"
+)
+
+var (
+	program = flag.String("program", "bin/sedgestream", "the program")
+	only    = flag.String("only", "", "one part: death, size, split, idle")
+	seeds   = flag.Int("seeds", 5, "of each figure in simulated time")
+	most    = flag.Int("most", 3000, "instances in simulated time, at most")
+	idle    = flag.Int("idle", 300, "processes, at most")
+)
+
+func main() {
+	flag.Parse()
+	for _, p := range []struct {
+		name string
+		run  func()
+	}{{"death", death}, {"size", size}, {"split", split}, {"idle", processes}} {
+		if *only == "" || *only == p.name {
+			p.run()
+			fmt.Println()
+		}
+	}
+}
+
+// at is a part of sorted figures.
+func at(fs []float64, part float64) float64 {
+	if len(fs) == 0 {
+		return -1
+	}
+	slices.Sort(fs)
+	return fs[min(len(fs)-1, int(part*float64(len(fs))))]
+}
+
+// death has one of some die while words are lost, or while a tenth of all is starved.
+func death() {
+	const n, periods = 60, 600
+	fmt.Printf("%d instances, %d periods, %d seeds; one dies in the middle. Wrong: live, healthy and reachable ones that are called failed, an hour of 1 s periods, by all together.\n\n", n, periods, *seeds)
+	fmt.Println("| words lost | who | known after: median | 99 % | most | found wrongly | believed wrongly |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- | --- |")
+	for _, c := range []struct {
+		name    string
+		loss    float64
+		starved bool
+	}{{"0", 0, false}, {"5 %", 0.05, false}, {"20 %", 0.2, false}, {"40 %", 0.4, false}, {"0, a tenth starved", 0, true}} {
+		for _, plain := range []bool{false, true} {
+			var known []float64
+			found, believed := 0, 0
+			for seed := range uint64(*seeds) {
+				d := &day.Day{Seed: seed, Instances: n, Period: time.Second, Span: periods * time.Second,
+					Faults: []day.Fault{{At: periods / 2 * time.Second, Kind: day.Kill, Who: []int{n - 1}}}}
+				if c.loss > 0 {
+					d.Faults = append(d.Faults, day.Fault{At: 30 * time.Second, For: (periods - 30) * time.Second, Kind: day.Loss, Part: c.loss})
+				}
+				w := membersim.New(d)
+				if w.Pace.Plain = plain; c.starved {
+					w.Starved = map[int]bool{}
+					for k := range n / 10 {
+						w.Starved[10*k+5] = true
+					}
+				}
+				j := w.Run(5)
+				known = append(known, j.Known...)
+				found, believed = found+j.Accused, believed+j.Wrong
+			}
+			hours := float64(*seeds) * periods / 3600
+			fmt.Printf("| %s | %s | %.1f | %.1f | %.1f | %.1f | %.0f |\n", c.name, map[bool]string{false: "as built", true: "plain SWIM"}[plain],
+				at(known, 0.5), at(known, 0.99), at(known, 1), float64(found)/hours, float64(believed)/hours)
+		}
+		if c.starved {
+			continue
+		}
+		var known []float64
+		wrong := 0
+		for seed := range uint64(min(*seeds, 2)) {
+			k, w, _ := membersim.Heartbeats(n, periods, c.loss, seed)
+			known, wrong = append(known, k...), wrong+w
+		}
+		hours := float64(min(*seeds, 2)) * periods / 3600
+		fmt.Printf("| %s | heartbeats of all to all | %.1f | %.1f | %.1f | - | %.0f |\n", c.name, at(known, 0.5), at(known, 0.99), at(known, 1), float64(wrong)/hours)
+	}
+}
+
+// size has fleets of many sizes in calm, and with one death.
+func size() {
+	fmt.Println("| instances | bytes an instance and period, calm | words | known after: median | most | start: all agree after | heartbeats: bytes | memory of the simulation | took |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	for _, n := range []int{10, 30, 100, 300, 1000, 3000} {
+		if n > *most {
+			break
+		}
+		begin := time.Now()
+		start := membersim.New(&day.Day{Seed: 2, Instances: n, Period: time.Second}).Run(400).Agreed
+		const calm, span = 100, 200
+		d := &day.Day{Seed: 1, Instances: n, Period: time.Second, Span: (span + 60) * time.Second,
+			Faults: []day.Fault{{At: span * time.Second, Kind: day.Kill, Who: []int{n - 1}}}}
+		w := membersim.New(d)
+		var b0, w0, b1, w1 int64
+		var mem runtime.MemStats
+		w.Do(calm*time.Second, func() { b0, w0 = w.Bytes() })
+		w.Do((span-1)*time.Second, func() { b1, w1 = w.Bytes(); runtime.ReadMemStats(&mem) })
+		j := w.Run(5)
+		per := float64(span-1-calm) * float64(n)
+		fmt.Printf("| %d | %.0f | %.2f | %.1f | %.1f | %.1f | %d | %d MB | %v |\n", n, float64(b1-b0)/per, float64(w1-w0)/per, at(j.Known, 0.5), at(j.Known, 1), start,
+			20*n*(n-1), mem.HeapAlloc>>20, time.Since(begin).Round(100*time.Millisecond))
+	}
+}
+
+// split has two halves apart for a while.
+func split() {
+	fmt.Println("| instances | apart for periods | all agree after: median | most | exchanges an instance since | views an instance, in all |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- |")
+	for _, n := range []int{30, 300} {
+		for _, long := range []int{10, 60, 600} {
+			var agreed []float64
+			exchanges, views := 0.0, 0.0
+			for seed := range uint64(*seeds) {
+				var who []int
+				for k := range n / 2 {
+					who = append(who, 2*k)
+				}
+				d := &day.Day{Seed: seed, Instances: n, Period: time.Second, Span: time.Duration(40+long) * time.Second,
+					Faults: []day.Fault{{At: 40 * time.Second, For: time.Duration(long) * time.Second, Kind: day.Split, Who: who}}}
+				w := membersim.New(d)
+				before := 0
+				w.Do(d.Span, func() { before = w.Seen.Exchanges })
+				j := w.Run(400)
+				agreed = append(agreed, j.Agreed)
+				exchanges, views = exchanges+float64(j.Exchanges-before)/float64(n), views+j.Views
+			}
+			k := float64(*seeds)
+			fmt.Printf("| %d | %d | %.1f | %.1f | %.2f | %.1f |\n", n, long, at(agreed, 0.5), at(agreed, 1), exchanges/k, views/k)
+		}
+	}
+}
+
+// bench is the standin.Test of a measurement: what fails ends it.
+type bench struct{ cleanups []func() }
+
+func (*bench) Helper()                   {}
+func (*bench) Fatal(args ...any)         { log.Fatal(args...) }
+func (*bench) Error(args ...any)         { log.Fatal(args...) }
+func (*bench) Errorf(f string, a ...any) { log.Fatalf(f, a...) }
+func (*bench) Failed() bool              { return false }
+func (b *bench) Cleanup(f func())        { b.cleanups = append(b.cleanups, f) }
+func (b *bench) TempDir() string {
+	dir, err := os.MkdirTemp("", "memberscost")
+	if err != nil {
+		log.Fatal(err)
+	}
+	b.Cleanup(func() { os.RemoveAll(dir) })
+	return dir
+}
+func (b *bench) end() {
+	for _, f := range slices.Backward(b.cleanups) {
+		f()
+	}
+}
+
+// processes measures real ones that carry nothing, at periods of one second.
+func processes() {
+	fmt.Println("| processes | words an instance and second | bytes | CPU of a forwarder, ms a second: median | most | CPU of a planner | memory of a forwarder, MB | all agree after, s |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- |")
+	for _, n := range []int{10, 30, 100, 300} {
+		if n > *idle {
+			break
+		}
+		b := &bench{}
+		nodes := []*standin.Node{standin.NewNode(b, "source"), standin.NewNode(b, "copy")}
+		path, err := filepath.Abs(*program)
+		if err != nil {
+			log.Fatal(err)
+		}
+		begin := time.Now()
+		r := fleet.New(b, fleet.Plan{Program: path, Planners: 3, Routers: n - 3, Nodes: nodes, Contract: standin.Contract, Period: time.Second,
+			Term: 2 * time.Second, Folder: b.TempDir(), Seed: 1})
+		for !r.Agree() && time.Since(begin) < 3*time.Minute {
+			time.Sleep(500 * time.Millisecond)
+		}
+		agreed := time.Since(begin)
+		time.Sleep(5 * time.Second)
+		c := r.Cost(10 * time.Second)
+		fmt.Printf("| %d | %.1f | %.0f | %.1f | %.1f | %.1f | %.1f | %.1f |\n", n, c.Words, c.Bytes, at(c.Forwarders, 0.5), at(c.Forwarders, 1), at(c.Planners, 0.5), c.Memory, agreed.Seconds())
+		b.end()
+	}
+}
--- /dev/null
+++ b/internal/standin/link/link.go
@@ -0,0 +1,242 @@
+// Package link has relays that stand between processes, for datagrams and connections alike: they lose, double and delay what
+// comes, cut one way or both, and keep ledgers of what passed.
+package link
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Weather is how the network is at a moment. Its zero value is a whole network.
+type Weather struct {
+	Cut    func(from, to int) bool // nothing passes this way; nil: all does
+	Loss   float64                 // part of the datagrams that is lost
+	Double float64                 // part that comes twice
+	Late   float64                 // part that comes later,
+	Span   time.Duration           // by up to that
+}
+
+// Network is some relays under one weather.
+type Network struct {
+	// Who tells a sender by its address: each process has an address of its own. Below 0: nobody's.
+	Who func(ip net.IP) int
+
+	mu      sync.Mutex
+	weather Weather
+	chance  *rand.Rand
+	relays  []*Relay
+	// Datagrams, Lost and Bytes count what came, what was not passed on, and the bytes of all.
+	Datagrams, Lost, Bytes, Connections atomic.Int64
+}
+
+// New is a network without relays; seed is that of its losses.
+func New(seed uint64, who func(ip net.IP) int) *Network {
+	return &Network{Who: who, chance: rand.New(rand.NewPCG(seed, 3))}
+}
+
+// Set changes the weather. Connections that a cut concerns end.
+func (n *Network) Set(w Weather) {
+	n.mu.Lock()
+	n.weather = w
+	relays := n.relays
+	n.mu.Unlock()
+	for _, r := range relays {
+		r.sever()
+	}
+}
+
+// fate is what becomes of a datagram: how often it comes, and how much later.
+func (n *Network) fate(from, to int) (times int, late time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	w := &n.weather
+	if w.Cut != nil && w.Cut(from, to) || n.chance.Float64() < w.Loss {
+		return 0, 0
+	}
+	times = 1
+	if n.chance.Float64() < w.Double {
+		times = 2
+	}
+	if w.Late > 0 && n.chance.Float64() < w.Late {
+		late = time.Duration(n.chance.Float64() * float64(w.Span))
+	}
+	return times, late
+}
+
+func (n *Network) cut(from, to int) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.weather.Cut != nil && n.weather.Cut(from, to)
+}
+
+// Relay is one address that stands for an instance.
+type Relay struct {
+	Address string
+
+	net      *Network
+	from, to int // from below 0: told by the address
+	real     atomic.Pointer[string]
+	sock     *net.UDPConn
+	listener net.Listener
+	mu       sync.Mutex
+	conns    map[*passage]struct{}
+}
+
+// passage is a connection that passes.
+type passage struct {
+	from    int
+	in, out net.Conn
+}
+
+// Relay opens an address that stands for an instance. From is who uses it, or below 0 for whoever does.
+func (n *Network) Relay(from, to int) (*Relay, error) {
+	for range 20 { // the same port has to be free for both
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		at := l.Addr().(*net.TCPAddr)
+		sock, err := net.ListenUDP("udp", &net.UDPAddr{IP: at.IP, Port: at.Port})
+		if err != nil {
+			l.Close()
+			continue
+		}
+		r := &Relay{Address: l.Addr().String(), net: n, from: from, to: to, sock: sock, listener: l, conns: map[*passage]struct{}{}}
+		n.mu.Lock()
+		n.relays = append(n.relays, r)
+		n.mu.Unlock()
+		go r.datagrams()
+		go r.accept()
+		return r, nil
+	}
+	return nil, errors.New("link: no port is free for datagrams and connections")
+}
+
+// Lead says where the instance is now.
+func (r *Relay) Lead(address string) { r.real.Store(&address) }
+
+func (r *Relay) datagrams() {
+	buf := make([]byte, 64<<10)
+	for {
+		k, src, err := r.sock.ReadFromUDP(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		to := r.real.Load()
+		if err != nil || to == nil {
+			continue
+		}
+		r.net.Datagrams.Add(1)
+		r.net.Bytes.Add(int64(k))
+		from := r.from
+		if from < 0 {
+			from = r.net.Who(src.IP)
+		}
+		times, late := r.net.fate(from, r.to)
+		if times == 0 {
+			r.net.Lost.Add(1)
+			continue
+		}
+		at, err := net.ResolveUDPAddr("udp", *to)
+		if err != nil {
+			continue
+		}
+		if late == 0 {
+			for range times {
+				r.sock.WriteToUDP(buf[:k], at)
+			}
+			continue
+		}
+		text := append([]byte(nil), buf[:k]...)
+		time.AfterFunc(late, func() { // one whose relay has closed meanwhile is lost
+			for range times {
+				r.sock.WriteToUDP(text, at)
+			}
+		})
+	}
+}
+
+func (r *Relay) accept() {
+	for {
+		in, err := r.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		r.net.Connections.Add(1)
+		go r.pass(in)
+	}
+}
+
+// pass carries a connection, until it ends or a cut of either way ends it.
+func (r *Relay) pass(in net.Conn) {
+	defer in.Close()
+	from := r.from
+	if from < 0 {
+		from = r.net.Who(in.RemoteAddr().(*net.TCPAddr).IP)
+	}
+	to := r.real.Load()
+	if to == nil || r.net.cut(from, r.to) || r.net.cut(r.to, from) {
+		time.Sleep(50 * time.Millisecond) // it hangs a little, as one that nobody answers
+		return
+	}
+	out, err := net.DialTimeout("tcp", *to, time.Second)
+	if err != nil {
+		return
+	}
+	defer out.Close()
+	p := &passage{from: from, in: in, out: out}
+	r.mu.Lock()
+	r.conns[p] = struct{}{}
+	r.mu.Unlock()
+	done := make(chan struct{}, 2)
+	go func() { io.Copy(out, in); done <- struct{}{} }()
+	go func() { io.Copy(in, out); done <- struct{}{} }()
+	<-done
+	r.mu.Lock()
+	delete(r.conns, p)
+	r.mu.Unlock()
+}
+
+// sever ends the connections that a cut concerns.
+func (r *Relay) sever() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p := range r.conns {
+		if r.net.cut(p.from, r.to) || r.net.cut(r.to, p.from) {
+			p.in.Close()
+			p.out.Close()
+		}
+	}
+}
+
+// Close ends all relays.
+func (n *Network) Close() {
+	n.mu.Lock()
+	relays := n.relays
+	n.mu.Unlock()
+	for _, r := range relays {
+		r.sock.Close()
+		r.listener.Close()
+		r.mu.Lock()
+		for p := range r.conns {
+			p.in.Close()
+			p.out.Close()
+		}
+		r.mu.Unlock()
+	}
+}
+
+// String tells the ledger.
+func (n *Network) String() string {
+	return fmt.Sprintf("%d datagrams of %d bytes, %d lost, %d connections", n.Datagrams.Load(), n.Bytes.Load(), n.Lost.Load(), n.Connections.Load())
+}
