--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test race lint fuzz run measure-terms
+.PHONY: build test race lint fuzz run measure-terms measure-members fleet
 
 build:
 	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
@@ -30,6 +30,16 @@
 	go test -run '^$$' -bench . ./internal/decide/terms
 	go test -run '^$$' -bench Job -count 5 ./internal/desk
 
+# What membership costs and how soon it knows, in simulated time and with up to 300 processes: some ten minutes, with the machine to itself.
+measure-members: build
+	go run ./internal/lab/memberscost
+
+# A day of faults among many processes: SEED=7 ROUTERS=297 FAULTS=20 PERIOD=1s make fleet. A failed day's folder is named.
+fleet:
+	go test -count=1 -v -timeout 3h -run FleetThroughFaults ./cmd/sedgestream -fleet.seed $${SEED:-28} -fleet.routers $${ROUTERS:-297} \
+		-fleet.faults $${FAULTS:-10} -fleet.period $${PERIOD:-1s}
+	go test -count=1 -v -timeout 1h ./internal/lab/membersim -sim.seeds $${SEEDS:-200}
+
 # One router by the configuration that ROUTER_CONFIG names; see README.md.
 run: build
 	exec bin/sedgestream
--- a/cmd/sedgestream/fleet.go
+++ b/cmd/sedgestream/fleet.go
@@ -25,7 +25,7 @@
 }
 
 func (fleetLeave) Help() string {
-	return "A member that is there leaves by itself and goes on to serve alone. One that has failed is called off: nobody waits for it or counts it any more.\n\nExample:\n\n    sedgestream fleet leave n17 --tier deploy/tier.json"
+	return "A member that is there leaves by itself and goes on to serve alone; it counts as one that may be sending until it ends. One that has failed, or left so and ended, is called off: nobody waits for it or counts it any more.\n\nExample:\n\n    sedgestream fleet leave n17 --tier deploy/tier.json"
 }
 func (f *fleetLeave) Run() error {
 	by := "an operator"
--- a/cmd/sedgestream/fleet_test.go
+++ b/cmd/sedgestream/fleet_test.go
@@ -40,7 +40,9 @@
 	}
 	r := fleet.New(t, fleet.Plan{Program: os.Args[0], Env: []string{asRouter + "=1"}, Planners: 3, Routers: *fleetRouters, Nodes: nodes,
 		Contract: tierContract, Period: *fleetPeriod, Term: 4 * *fleetPeriod, Clients: 1, Every: 250 * time.Millisecond, Folder: folder, Seed: *fleetSeed})
-	d := day.Draw(*fleetSeed, 3+*fleetRouters, 0, *fleetPeriod, *fleetFaults, day.Kill, day.Stop, day.Leave, day.Split, day.OneWay, day.Loss, day.Late, day.Double, day.Twin)
+	d := day.Draw(*fleetSeed, 3+*fleetRouters, 0, *fleetPeriod, *fleetFaults, day.Kill, day.Stop, day.Leave, day.Split, day.OneWay, day.Loss, day.Late, day.Double, day.Twin, day.Drain)
+	// Whatever else the seed has, a node drains by the lists of two, and by all others' later.
+	d.Faults = append(d.Faults, day.Fault{At: d.Span / 3, For: d.Span / 3, Kind: day.Drain, Who: []int{5, 9}, Part: 0.5})
 	v := r.Play(d, 200)
 	t.Logf("%v\n%v", v, r.Net)
 	if len(v.Found) > 0 {
@@ -48,7 +50,7 @@
 	} else {
 		os.RemoveAll(folder)
 	}
-	if v.Jobs < *fleetRouters {
+	if v.Jobs < *fleetRouters || v.Drains == 0 {
 		t.Error("too little was tested")
 	}
 }
@@ -84,12 +86,17 @@
 	if code, out, errs = sedgestream(t, "fleet", "leave", "f3", "--at", at); code != 0 || !strings.Contains(out, "f3 leaves") {
 		t.Errorf("%d %s%s", code, out, errs)
 	}
-	standin.Until(t, "all to divide by three", func() bool {
-		f, err := r.Ask(1)
-		return err == nil && f.Holds.Senders == 3
-	})
+	senders := func(n int) func() bool {
+		return func() bool {
+			f, err := r.Ask(1)
+			return err == nil && f.Holds.Senders == n
+		}
+	}
+	standin.Until(t, "all to divide by four, as the one that left goes on to send", senders(4))
 	before := len(primary.Got()) + len(replica.Got())
 	standin.Until(t, "jobs of all", func() bool { return len(primary.Got())+len(replica.Got()) > before+20 })
+	r.End(3)
+	standin.Until(t, "all to divide by three", senders(3))
 	if code, _, errs = sedgestream(t, "fleet", "leave", "nobody", "--at", at); code != 1 || !strings.Contains(errs, "nobody knows a member") {
 		t.Errorf("%d %s", code, errs)
 	}
--- a/internal/decide/members/members.go
+++ b/internal/decide/members/members.go
@@ -149,7 +149,7 @@
 
 	self Record
 	mine *peer // this instance itself, as rumors and sums have it
-	left bool
+	left bool  // it has left, or departed
 
 	of       map[string]*peer
 	ring     []*peer // live others, in the order of probes
@@ -426,13 +426,29 @@
 	m.spread(m.mine)
 }
 
-// Leave tells others that this instance goes, by its own will. It says nothing more of itself after that.
+// Leave tells others that this instance has ended its work, by its own will. It says nothing more of itself after that.
 func (m *Members) Leave(now int64) {
-	if m.left {
+	if m.mine.Health == Left {
 		return
 	}
+	if m.left {
+		m.mine.Incarnation++ // it departed before, and now it ends
+	}
+	m.goodbye(now, Left, "")
+}
+
+// Depart has this instance leave the fleet by an operator's word, while it goes on with its work. To others it is as one that
+// failed: nobody asks it for anything, but it may be sending.
+func (m *Members) Depart(now int64, by string) {
+	if !m.left {
+		m.goodbye(now, Failed, by)
+	}
+}
+
+// goodbye is the last word of this instance, unless it departs first and ends later.
+func (m *Members) goodbye(now int64, h Health, by string) {
 	m.count(m.mine)
-	m.left, m.mine.Health = true, Left
+	m.left, m.mine.Health, m.mine.By, m.mine.since = true, h, by, now
 	m.spread(m.mine)
 	for _, p := range m.some(leaveTold, nil) {
 		m.send(p.Address, p, &Word{Kind: News})
--- a/internal/decide/members/stance.go
+++ b/internal/decide/members/stance.go
@@ -24,7 +24,7 @@
 	Situation Situation `json:"situation"`
 	// Senders is by how many a budget that all share has to be divided: all that may be alive and sending. Those that were
 	// lost sight of go on counting until they have left, were called off by an operator, or are forgotten; so it grows at
-	// once and shrinks only by word.
+	// once and shrinks only by word. 0: not known, so that only what is safe whatever others do may be used.
 	Senders int `json:"senders"`
 	// Pledge tells whether shares may be pledged anew. One that does not know what it did before its start or its absence
 	// keeps to what is safe alone.
@@ -48,7 +48,7 @@
 		return Woke
 	case now-m.born < span:
 		return Started
-	case len(m.ring) == 0 && (len(m.lost) > 0 || len(m.seeds) > 0):
+	case m.left || len(m.ring) == 0 && (len(m.lost) > 0 || len(m.seeds) > 0):
 		return Alone
 	case m.few():
 		return Minority
@@ -62,13 +62,18 @@
 func (m *Members) Holds(now int64) Holds {
 	s := m.Situation(now)
 	h := Holds{Situation: s, Senders: m.Senders()}
+	if s == Started || m.joined == 0 && len(m.seeds) > 0 {
+		h.Senders = 0
+	}
 	switch s {
 	case Whole:
 		h.Pledge, h.Hints, h.Owners = true, true, m.whole
 	case Contradicted: // pledges go by those that answer; whoever is right, a share is pledged to one planner only
 		h.Pledge, h.Hints, h.Owners = true, true, m.whole
 	case Minority, Alone:
-		h.Pledge, h.Owners = true, m.whole
+		if h.Pledge = true; !m.left { // who left goes by those that answer
+			h.Owners = m.whole
+		}
 	}
 	return h
 }
--- a/internal/lab/day/day.go
+++ b/internal/lab/day/day.go
@@ -26,6 +26,7 @@
 	Late   Kind = "late"   // a Part of all datagrams comes later by up to Span
 	Double Kind = "double" // a Part of all datagrams comes twice
 	Twin   Kind = "twin"   // another process starts with the name of Who[0], and ends when it is over
+	Drain  Kind = "drain"  // the lists of Who tell that a node drains, those of all others when it is over; Part says which node
 )
 
 // Fault is one thing that goes wrong.
@@ -98,6 +99,8 @@
 			f.Part, f.For = chance.Float64(), periods(10, 40)
 		case Twin:
 			f.Who, f.For = some(0)[:1], periods(10, 40)
+		case Drain:
+			f.Who, f.Part, f.For = some(0.1), chance.Float64(), periods(10, 40)
 		}
 		d.Faults = append(d.Faults, f)
 		at += periods(5, 50)
--- a/internal/lab/fleet/cost.go
+++ b/internal/lab/fleet/cost.go
@@ -89,5 +89,8 @@
 // Kill ends an instance without a word.
 func (r *Rig) Kill(n int) { r.end(r.procs[n], syscall.SIGKILL) }
 
+// End has an instance end well.
+func (r *Rig) End(n int) { r.end(r.procs[n], syscall.SIGTERM) }
+
 // Ask has an instance tell how it sees the fleet.
 func (r *Rig) Ask(n int) (*words.Fleet, error) { return r.Fleet(r.procs[n]) }
--- a/internal/lab/fleet/judge.go
+++ b/internal/lab/fleet/judge.go
@@ -24,6 +24,7 @@
 	Jobs     int     // answered
 	Excused  int     // lost with their router
 	Bounced  int
+	Drains   int     // that were told
 	Bytes    float64 // of datagrams, an instance and second
 	Words    float64
 	Found    []string // broken rules and promises
@@ -222,7 +223,9 @@
 const (
 	hardLimit = 2000 * time.Millisecond
 	window    = 1200 * time.Millisecond
-	busy      = 750 * time.Millisecond // for a machine with other work, in what is checked by the clock
+	// drainGrace is that of standin.Contract.
+	drainGrace = 500 * time.Millisecond
+	busy       = 750 * time.Millisecond // for a machine with other work, in what is checked by the clock
 )
 
 // load has clients ask a router, and come again when it is back.
@@ -304,6 +307,7 @@
 // rules holds the ledgers of nodes and clients against the rules on answers, double effects and old data.
 func (r *Rig) rules(v *Verdict) {
 	runs := map[string][]standin.Ran{}
+	v.Drains = len(r.drained)
 	for n, node := range r.Nodes {
 		for _, ran := range node.Ledger() {
 			runs[ran.ID] = append(runs[ran.ID], ran)
@@ -311,6 +315,8 @@
 				r.fault("node %d ran a job that nobody asked for: %s", n, ran.ID)
 			} else if j.tariff != "view" && node.Role != "source" {
 				r.fault("replica %d ran %s of %s", n, ran.ID, j.tariff)
+			} else if at := r.drained[n][j.router]; !at.IsZero() && !j.excused && ran.At.After(at.Add(drainGrace+busy)) {
+				r.fault("node %d got a job of %s %v after its list said that it drains", n, j.router, ran.At.Sub(at))
 			}
 		}
 	}
@@ -345,7 +351,7 @@
 // String tells it in a line, and what was found in more.
 func (v *Verdict) String() string {
 	s := fmt.Sprintf("agreed after %.1f periods, deaths known within %.1f, live ones called failed for %.1f at most, %d jobs answered (%d bounced), "+
-		"%d excused, %.0f bytes in %.1f words an instance and second", v.Agreed, v.Known, v.WrongFor, v.Jobs, v.Bounced, v.Excused, v.Bytes, v.Words)
+		"%d excused, %d drains, %.0f bytes in %.1f words an instance and second", v.Agreed, v.Known, v.WrongFor, v.Jobs, v.Bounced, v.Excused, v.Drains, v.Bytes, v.Words)
 	for _, f := range v.Found {
 		s += "\n  " + f
 	}
--- a/internal/lab/fleet/rig.go
+++ b/internal/lab/fleet/rig.go
@@ -54,6 +54,9 @@
 	found    []string // broken rules and promises
 	polls    []poll
 	on       map[int]*day.Fault
+
+	drained map[int]map[string]time.Time // by node: when each router's own list told it
+	version int
 }
 
 // proc is a process of the program that is started again and again.
@@ -94,7 +97,7 @@
 
 // New starts all processes and the load.
 func New(t standin.Test, p Plan) *Rig {
-	r := &Rig{Plan: p, Net: link.New(p.Seed, who), t: t, stop: make(chan struct{}), on: map[int]*day.Fault{}}
+	r := &Rig{Plan: p, Net: link.New(p.Seed, who), t: t, stop: make(chan struct{}), on: map[int]*day.Fault{}, drained: map[int]map[string]time.Time{}, version: 7}
 	t.Cleanup(r.close)
 	for n := range p.Planners {
 		l, err := net.Listen("tcp", ip(n).String()+":0")
@@ -170,7 +173,6 @@
 	c.fleet = standin.NewFleet(r.t, r.Nodes...)
 	c.fleet.Name, c.fleet.Contract = c.name, r.Contract
 	c.args = []string{"forward", "--tier", path, "--member-listen", c.ip.String() + ":0", "--member-advertise", c.relay.Address}
-	c.env = c.fleet.Configure()
 	go func() { // nobody asks how its watches begin
 		for {
 			select {
@@ -185,6 +187,11 @@
 
 // start starts a life of an instance and waits until it serves.
 func (r *Rig) start(c *proc) {
+	if c.fleet != nil {
+		r.mu.Lock()
+		c.env = c.fleet.Configure()
+		r.mu.Unlock()
+	}
 	cmd := exec.Command(r.Program, c.args...)
 	cmd.Env = append(slices.Clone(c.env), r.Env...)
 	log, err := os.OpenFile(r.log(c), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -329,6 +336,9 @@
 	case day.Split, day.OneWay, day.Loss, day.Late, day.Double:
 		r.weather()
 		return
+	case day.Drain:
+		r.drain(f, on)
+		return
 	case day.Twin:
 		if on {
 			r.mu.Lock()
@@ -372,6 +382,52 @@
 	all.Wait()
 }
 
+// drain has the lists of some routers tell that a replica drains; when the fault is over, those of all others.
+func (r *Rig) drain(f *day.Fault, on bool) {
+	node := 1 + int(f.Part*float64(len(r.Nodes)-1))
+	r.mu.Lock()
+	told := r.drained[node]
+	if told == nil {
+		told = map[string]time.Time{}
+		r.drained[node] = told
+		r.version++
+	}
+	version := r.version
+	r.mu.Unlock()
+	line := fmt.Sprintf("{\"version\":%d,\"full\":false,\"servers\":[%s]}\n", version, r.Nodes[node].Entry(node, "draining"))
+	for _, c := range r.all() {
+		if c.fleet == nil || c.twin || on && !slices.Contains(f.Who, c.number) {
+			continue
+		}
+		// A life to come knows it from its configuration.
+		r.mu.Lock()
+		for len(c.fleet.States) < len(r.Nodes) {
+			c.fleet.States = append(c.fleet.States, "up")
+		}
+		c.fleet.States[node], c.fleet.Version = "draining", version
+		up := c.up
+		r.mu.Unlock()
+		r.tasks.Add(1)
+		go func() {
+			defer r.tasks.Done()
+			if up {
+				select {
+				case c.fleet.Changes <- line:
+				case <-time.After(5 * time.Second): // it has ended meanwhile
+					return
+				case <-r.stop:
+					return
+				}
+			}
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			if told[c.name].IsZero() {
+				told[c.name] = time.Now()
+			}
+		}()
+	}
+}
+
 func (r *Rig) all() []*proc {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/lab/membersim/world.go
+++ b/internal/lab/membersim/world.go
@@ -32,6 +32,8 @@
 	Pace members.Pace
 	// Starved instances run for a quarter of each two periods only.
 	Starved map[int]bool
+	// Together has all start at the same moment, not within a period.
+	Together bool
 	// Watch is called with what any instance comes to believe, in the order of simulated time; nil for nobody.
 	Watch func(now int64, by int, c members.Change)
 
@@ -189,7 +191,11 @@
 	period := int64(w.Day.Period)
 	for n := range w.Day.Instances {
 		i := w.add(fmt.Sprintf("n%d", n), fmt.Sprintf("a%d", n))
-		w.do(w.chance.Int64N(period), func() { w.start(i) })
+		at := w.chance.Int64N(period)
+		if w.Together {
+			at = 0
+		}
+		w.do(at, func() { w.start(i) })
 	}
 	for k := range w.Day.Faults {
 		f := &w.Day.Faults[k]
--- a/internal/lab/membersim/world_test.go
+++ b/internal/lab/membersim/world_test.go
@@ -120,3 +120,40 @@
 		t.Error("they grow")
 	}
 }
+
+// Three hundred that start at the same moment find each other soon, and no seed is overrun.
+func TestAllStartAtOnce(t *testing.T) {
+	w := New(&day.Day{Seed: 8, Instances: 300, Period: time.Second})
+	w.Together = true
+	j := w.Run(200)
+	bytes, _ := w.Bytes()
+	t.Logf("agreed after %.1f periods, %d exchanges, %.0f bytes an instance", j.Agreed, j.Exchanges, float64(bytes)/300)
+	if j.Agreed < 0 || j.Agreed > 40 || j.Exchanges > 20*300 || float64(bytes)/300 > 300_000 {
+		t.Errorf("%+v", j.Faults)
+	}
+}
+
+// Where half of all reach one planner only and the other half the other, nobody is called failed for long: others are asked.
+func TestEitherPlanner(t *testing.T) {
+	var one, other []int
+	for n := 3; n < 63; n += 2 {
+		one, other = append(one, n), append(other, n+1)
+	}
+	d := &day.Day{Seed: 9, Instances: 63, Period: time.Second}
+	for _, c := range [][2][]int{{one, {0}}, {{0}, one}, {other, {1}}, {{1}, other}} {
+		d.Faults = append(d.Faults, day.Fault{At: 40 * time.Second, For: 200 * time.Second, Kind: day.OneWay, Who: c[0], Others: c[1]})
+	}
+	d.Span = d.Last()
+	called := 0
+	w := New(d)
+	w.Watch = func(now int64, by int, c members.Change) {
+		if c.Record.Health == members.Failed {
+			called++
+		}
+	}
+	j := w.Run(60)
+	t.Logf("agreed %.1f periods after, %.1f views an instance, %d times called failed", j.Agreed, j.Views, called)
+	if j.Agreed < 0 || called > 63 || j.Views > 3 {
+		t.Errorf("%+v", j.Faults)
+	}
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,7 +59,7 @@
 	busy     bool // with an exchange of its own
 	closed   bool
 	tally    words.Tally
-	resolved map[string]*net.UDPAddr
+	resolved map[string]host // addresses that are names
 }
 
 // New listens for datagrams. Serve has to follow. Viewed is called with each new view, under no lock; nil if nobody builds on it.
@@ -73,7 +74,7 @@
 	}
 	at = sock.LocalAddr().(*net.UDPAddr)
 	s := &Instance{post: p, mark: words.MarkOf(p.Fleet), log: log, sock: sock, start: time.Now(), stop: make(chan struct{}), viewed: viewed,
-		from: &net.TCPAddr{IP: at.IP}, resolved: map[string]*net.UDPAddr{}}
+		from: &net.TCPAddr{IP: at.IP}, resolved: map[string]host{}}
 	if p.Advertise == "" {
 		s.post.Advertise = at.String()
 	}
@@ -219,7 +220,7 @@
 	answer := &words.Off{Name: o.Name}
 	if s.members.Self().Name == o.Name {
 		s.log.Warn("leaves the fleet by an operator's word", zap.String("by", o.By))
-		s.members.Leave(s.now())
+		s.members.Depart(s.now(), o.By)
 		answer.Done = true
 	} else if answer.Done = s.members.CallOff(s.now(), o.Name, o.By); !answer.Done {
 		answer.Why = "it has not failed as far as this instance knows"
@@ -240,19 +241,48 @@
 		s.log.Error("a word that can't be sent", zap.Error(err))
 		return
 	}
-	at := s.resolved[to]
-	if at == nil {
-		if at, err = net.ResolveUDPAddr("udp", to); err != nil {
-			return
-		}
-		if len(s.resolved) > members.MostMembers {
-			clear(s.resolved)
-		}
-		s.resolved[to] = at
+	at, known := s.resolve(to)
+	if !known {
+		return
 	}
 	s.tally.WordsOut++
 	s.tally.BytesOut += int64(len(text))
-	s.sock.WriteToUDP(text, at)
+	s.sock.WriteToUDPAddrPort(text, at)
+}
+
+// host is where a name leads to, and when that was asked last.
+type host struct {
+	at    netip.AddrPort
+	asked time.Time
+}
+
+// nameHolds is for how long a name is not asked for again; names are few, as members tell addresses.
+const (
+	nameHolds = 30 * time.Second
+	mostNames = 256
+)
+
+// resolve gives where an address leads to. A name is asked for by a task of its own, and words are lost till then: the lock is
+// not held while others' servers think.
+func (s outside) resolve(to string) (netip.AddrPort, bool) {
+	if at, err := netip.ParseAddrPort(to); err == nil {
+		return at, true
+	}
+	h := s.resolved[to]
+	if time.Since(h.asked) > nameHolds && (len(s.resolved) < mostNames || h.at.IsValid()) {
+		s.resolved[to] = host{h.at, time.Now()}
+		s.task(func() {
+			found, err := net.ResolveUDPAddr("udp", to)
+			if err != nil {
+				s.log.Info("a name that leads nowhere", zap.String("address", to), zap.Error(err))
+				return
+			}
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.resolved[to] = host{found.AddrPort(), time.Now()}
+		})
+	}
+	return h.at, h.at.IsValid()
 }
 
 // Exchange begins one, unless another is under way.
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -141,9 +141,6 @@
 	sig := stay(s, stops)
 	begun := time.Now()
 	s.enter(Leaving, zap.Stringer("signal", sig), zap.Int("clients", s.intake.Clients()), zap.Int("in hand", s.desk.InHand()))
-	if s.member != nil {
-		s.task(s.member.Leave)
-	}
 	s.leave(begun)
 	s.enter(Finishing, zap.Int("clients", s.intake.Clients()), zap.Int("in hand", s.desk.InHand()))
 	s.finish()
@@ -306,6 +303,7 @@
 		s.links.Close()
 	}
 	if s.member != nil {
+		s.member.Leave() // not before its last trip has ended: till then it may be sending
 		s.member.Close()
 	}
 	s.talk(false)
