Views that wait, new lives and unequal sums have tests that fail without them

Cause: each protection was taken out once; without the wait for suspicions, the word to a new life, and exchanges by sums no test failed.

Change: a test for each. The rig of many processes has routers that only run beside forwarders.

--- a/cmd/sedgestream/fleet_test.go
+++ b/cmd/sedgestream/fleet_test.go
@@ -38,7 +38,7 @@
 	for _, n := range nodes {
 		n.Troubled(2 * time.Millisecond)
 	}
-	r := fleet.New(t, fleet.Plan{Program: os.Args[0], Env: []string{asRouter + "=1"}, Planners: 3, Routers: *fleetRouters, Nodes: nodes,
+	r := fleet.New(t, fleet.Plan{Program: os.Args[0], Env: []string{asRouter + "=1"}, Planners: 3, Routers: *fleetRouters, Plain: *fleetRouters / 5, Nodes: nodes,
 		Contract: tierContract, Period: *fleetPeriod, Term: 4 * *fleetPeriod, Clients: 1, Every: 250 * time.Millisecond, Folder: folder, Seed: *fleetSeed})
 	d := day.Draw(*fleetSeed, 3+*fleetRouters, 0, *fleetPeriod, *fleetFaults, day.Kill, day.Stop, day.Leave, day.Split, day.OneWay, day.Loss, day.Late, day.Double, day.Twin, day.Drain)
 	// Whatever else the seed has, a node drains by the lists of two, and by all others' later.
@@ -59,12 +59,12 @@
 // shrinks what all are divided by, as nothing else does.
 func TestFleetShow(t *testing.T) {
 	primary, replica := standin.Pair(t)
-	r := fleet.New(t, fleet.Plan{Program: os.Args[0], Env: []string{asRouter + "=1"}, Planners: 1, Routers: 4, Nodes: []*standin.Node{primary, replica},
+	r := fleet.New(t, fleet.Plan{Program: os.Args[0], Env: []string{asRouter + "=1"}, Planners: 1, Routers: 4, Plain: 1, Nodes: []*standin.Node{primary, replica},
 		Contract: tierContract, Period: 50 * time.Millisecond, Term: 400 * time.Millisecond, Clients: 1, Every: 20 * time.Millisecond, Folder: t.TempDir()})
 	standin.Until(t, "one view", r.Agree)
 	at := r.Member(2)
 	code, out, errs := sedgestream(t, "fleet", "show", "--at", at)
-	if code != 0 || strings.Count(out, "forwarder") != 4 || !strings.Contains(out, "planner") {
+	if code != 0 || strings.Count(out, "forwarder") != 3 || !strings.Contains(out, "router") || !strings.Contains(out, "planner") {
 		t.Errorf("%d\n%s%s", code, out, errs)
 	}
 	r.Kill(4)
--- a/internal/decide/members/members_test.go
+++ b/internal/decide/members/members_test.go
@@ -381,3 +381,47 @@
 		})
 	})
 }
+
+// While anyone is suspected a set does not become a view: what comes of a cut comes at once.
+func TestViewWaits(t *testing.T) {
+	m, d, now := among(17, "a", "b", "c", "d", "e", "f")
+	all := func(n string) bool { return n > "b" }
+	now = m.run(d, now, now+4*pace.Period, func(string) bool { return true })
+	views := len(d.views)
+	m.told(now, Record{Name: "b", Address: "@b", Life: 101, Incarnation: 3, Health: Suspect, By: "c"}, "c")
+	m.told(now, rec("a", 100, 3, Failed), "c")
+	if now = m.run(d, now, now+6*pace.Period, all); len(d.views) != views || m.of["b"].Health != Suspect {
+		t.Errorf("%d views while b is %v", len(d.views)-views, m.of["b"].Health)
+	}
+	if m.run(d, now, now+20*pace.Period, all); len(d.views) != views+1 || len(d.views[views].Members) != 5 {
+		t.Errorf("%d views", len(d.views)-views)
+	}
+}
+
+// A new life of one whose old life is still believed in is told what it has to outdo, if its own number is the lower.
+func TestNewLifeHearsOfTheOld(t *testing.T) {
+	m, d, now := among(1, "a")
+	m.Heard(now, &Word{Kind: Ping, Seq: 4, From: rec("a", 2, 3, Alive)})
+	if rs := d.to("@a")[0].Rumors; len(rs) == 0 || rs[0].Name != "a" || rs[0].Life != 100 {
+		t.Errorf("told %+v", rs)
+	}
+}
+
+// Where words of others have other sums time and again an exchange follows, soon but not at once; where they agree none does.
+func TestUnequalSums(t *testing.T) {
+	for _, equal := range []bool{true, false} {
+		m, d, now := among(19, "a", "b")
+		m.sync = now + 60*pace.Period
+		for range unequalBefore {
+			w := &Word{Kind: News, From: rec("a", 100, 3, Alive), Sum: m.sum}
+			if !equal {
+				w.Sum++
+			}
+			m.Heard(now, w)
+		}
+		m.Next()
+		if m.run(d, now, now+(syncGap+1)*pace.Period, func(string) bool { return true }); (len(d.asked) == 0) != equal {
+			t.Errorf("equal %v: %d exchanges", equal, len(d.asked))
+		}
+	}
+}
--- a/internal/lab/fleet/rig.go
+++ b/internal/lab/fleet/rig.go
@@ -28,6 +28,7 @@
 	Env      []string // and what it needs beside the usual environment
 	Planners int      // the first instances
 	Routers  int      // forwarders, those behind
+	Plain    int      // of these, the last, routers that heed no planner
 	Nodes    []*standin.Node
 	Contract string // of the routers, as JSON
 	Period   time.Duration
@@ -172,7 +173,11 @@
 	}
 	c.fleet = standin.NewFleet(r.t, r.Nodes...)
 	c.fleet.Name, c.fleet.Contract = c.name, r.Contract
-	c.args = []string{"forward", "--tier", path, "--member-listen", c.ip.String() + ":0", "--member-advertise", c.relay.Address}
+	word := "forward"
+	if n >= r.Planners+r.Routers-r.Plain && n < r.Planners+r.Routers {
+		word = "run"
+	}
+	c.args = []string{word, "--tier", path, "--member-listen", c.ip.String() + ":0", "--member-advertise", c.relay.Address}
 	go func() { // nobody asks how its watches begin
 		for {
 			select {
