Pieces of exchanges have a test; the one for new lives fails without its fix

Cause: taken out once more, the word to a new life was not missed, as its record was still news; ages in exchanges and the choice of what differs were missed by no test either.

Change: TestNewLifeHearsOfTheOld waits until nothing is news; TestPieces.

--- a/internal/decide/members/members_test.go
+++ b/internal/decide/members/members_test.go
@@ -401,6 +401,8 @@
 // A new life of one whose old life is still believed in is told what it has to outdo, if its own number is the lower.
 func TestNewLifeHearsOfTheOld(t *testing.T) {
 	m, d, now := among(1, "a")
+	now = m.run(d, now, now+20*pace.Period, func(string) bool { return true }) // till that is no news any more
+	d.sent = nil
 	m.Heard(now, &Word{Kind: Ping, Seq: 4, From: rec("a", 2, 3, Alive)})
 	if rs := d.to("@a")[0].Rumors; len(rs) == 0 || rs[0].Name != "a" || rs[0].Life != 100 {
 		t.Errorf("told %+v", rs)
@@ -425,3 +427,31 @@
 		}
 	}
 }
+
+// An exchange tells only what differs, and of those that are lost since when, so that none is remembered for ever by being told on.
+func TestPieces(t *testing.T) {
+	m, _, now := among(21, "a", "b", "c")
+	o, _, _ := among(22, "a", "b")
+	for _, x := range []*Members{m, o} {
+		x.told(now, rec("b", 101, 3, Failed), "a")
+	}
+	sums := o.Sums()
+	sums[m.mine.mark%Buckets] = m.buckets[m.mine.mark%Buckets]
+	if bs := m.Differing(&sums, false); len(bs) != 1 || uint64(bs[0]) != m.of["c"].mark%Buckets {
+		t.Errorf("buckets %v differ", bs)
+	}
+	if bs := m.Differing(&sums, true); len(bs) != Buckets {
+		t.Errorf("a newcomer is told of %d buckets", len(bs))
+	}
+	now += 100e9
+	for _, r := range m.Piece(now, m.Differing(&sums, true)) {
+		if want := map[bool]uint32{true: 0, false: 100}[r.live()]; r.Age != want {
+			t.Errorf("%s %v has age %d", r.Name, r.Health, r.Age)
+		}
+	}
+	n, _, _ := among(23)
+	n.Merge(now, "me2", []Record{{Name: "b", Address: "@b", Life: 101, Incarnation: 3, Health: Failed, Age: 100}, {Name: "x", Address: "@x", Health: Failed, Age: 700}})
+	if n.Senders() != 2 || n.of["b"].since != now-100e9 || n.of["x"] != nil {
+		t.Errorf("%d may send, %+v", n.Senders(), n.lost)
+	}
+}
