memberscost waits until a start is no news any more

Cause: at 300 processes words were counted while the start was still told: 5.6 words and 3,178 bytes an instance and second.

Change: it waits 0.2 s an instance before it measures.

--- a/internal/lab/memberscost/main.go
+++ b/internal/lab/memberscost/main.go
@@ -25,6 +25,7 @@
 	seeds   = flag.Int("seeds", 5, "of each figure in simulated time")
 	most    = flag.Int("most", 3000, "instances in simulated time, at most")
 	idle    = flag.Int("idle", 300, "processes, at most")
+	least   = flag.Int("least", 0, "and at least")
 )
 
 func main() {
@@ -179,8 +180,8 @@
 	fmt.Println("| processes | words an instance and second | bytes | CPU of a forwarder, ms a second: median | most | CPU of a planner | memory of a forwarder, MB | all agree after, s |")
 	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- |")
 	for _, n := range []int{10, 30, 100, 300} {
-		if n > *idle {
-			break
+		if n > *idle || n < *least {
+			continue
 		}
 		b := &bench{}
 		nodes := []*standin.Node{standin.NewNode(b, "source"), standin.NewNode(b, "copy")}
@@ -195,7 +196,7 @@
 			time.Sleep(500 * time.Millisecond)
 		}
 		agreed := time.Since(begin)
-		time.Sleep(5 * time.Second)
+		time.Sleep(5*time.Second + time.Duration(n)*200*time.Millisecond) // till the start is no news any more
 		c := r.Cost(10 * time.Second)
 		fmt.Printf("| %d | %.1f | %.0f | %.1f | %.1f | %.1f | %.1f | %.1f |\n", n, c.Words, c.Bytes, at(c.Forwarders, 0.5), at(c.Forwarders, 1), at(c.Planners, 0.5), c.Memory, agreed.Seconds())
 		b.end()
