--- a/cmd/sedgestream/fleet_test.go
+++ b/cmd/sedgestream/fleet_test.go
@@ -36,6 +36,7 @@
 		nodes = append(nodes, standin.NewNode(t, "copy"))
 	}
 	for _, n := range nodes {
+		n.Strict = true
 		n.Troubled(2 * time.Millisecond)
 	}
 	r := fleet.New(t, fleet.Plan{Program: os.Args[0], Env: []string{asRouter + "=1"}, Planners: 3, Routers: *fleetRouters, Plain: *fleetRouters / 5, Nodes: nodes,
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -7,6 +7,7 @@
 	"net"
 	"regexp"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -44,6 +45,7 @@
 	Greet    func(net.Conn) bool                       // false: the connection ends before it is up
 	Job      func(*pgproto3.Backend, net.Conn, string) // answers a statement; the usual one if nil
 	Quiet    bool                                      // keeps no ledger, for loads
+	Strict   bool                                      // a replica turns writes away by 25006, as real ones do, and they never ran
 
 	t        Test
 	mu       sync.Mutex
@@ -163,6 +165,10 @@
 			n.Row(b, fmt.Sprintf("x0=%.3f,x1=%d,load_share=0.1", float64(time.Now().UnixMilli())/1e3, primary))
 			continue
 		}
+		if n.Strict && n.Role != "source" && strings.HasPrefix(q.String, "INSERT") {
+			n.Refuse("25006")(b, c, q.String)
+			continue
+		}
 		job := n.Job
 		n.Count(func() {
 			if job = n.Job; n.Quiet {
