--- a/internal/advise/fleet.go
+++ b/internal/advise/fleet.go
@@ -80,6 +80,9 @@
 				w, err := operate(address, &words.Word{Fleet: &words.Fleet{}})
 				mu.Lock()
 				defer mu.Unlock()
+				if err == nil && w.Fleet == nil {
+					err = fmt.Errorf("it answers something else")
+				}
 				if err != nil {
 					s.Silent = append(s.Silent, Silence{name, address, err.Error()})
 					return
--- a/internal/advise/plan.go
+++ b/internal/advise/plan.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"maps"
-	"net"
 	"slices"
 	"text/tabwriter"
 	"time"
@@ -53,27 +52,14 @@
 }
 
 func ask(address string) (*words.Show, error) {
-	sock, err := net.DialTimeout("tcp", address, wait)
+	w, err := operate(address, &words.Word{Show: &words.Show{}})
+	if err == nil && w.Show == nil {
+		err = fmt.Errorf("it answers something else")
+	}
 	if err != nil {
 		return nil, err
 	}
-	defer sock.Close()
-	c := words.On(sock)
-	for _, w := range []*words.Word{{Hello: &words.Hello{Version: words.Version, Kind: words.Operator}}, {Show: &words.Show{}}} {
-		if err := c.Write(w, wait); err != nil {
-			return nil, err
-		}
-	}
-	for {
-		switch w, err := c.Read(wait); {
-		case err != nil:
-			return nil, err
-		case w.Bye != "":
-			return nil, fmt.Errorf("%s", w.Bye)
-		case w.Show != nil:
-			return w.Show, nil
-		}
-	}
+	return w.Show, nil
 }
 
 var standings = map[balance.Standing]string{balance.In: "up", balance.Draining: "draining", balance.Gone: "gone"}
--- a/internal/decide/plan/plan_test.go
+++ b/internal/decide/plan/plan_test.go
@@ -370,3 +370,25 @@
 		t.Error("old voices are kept")
 	}
 }
+
+// A forwarder reports at once what is new, while it asks or sees a node fail, and else twice a term; hints outlast the time until
+// the next report has been answered; and a planner that was away for more than some periods knows it.
+func TestReports(t *testing.T) {
+	const term, period = 2000 * ms, 250 * ms
+	for _, c := range []struct {
+		since               int64
+		news, asks, failing bool
+		due                 bool
+	}{{period, false, false, false, false}, {period, true, false, false, true}, {period, false, true, false, true}, {period, false, false, true, true},
+		{term/2 - 1, false, false, false, false}, {term / 2, false, false, false, true}} {
+		if due := Due(5*term+c.since, 5*term, term, c.news, c.asks, c.failing); due != c.due {
+			t.Errorf("%+v: %v", c, due)
+		}
+	}
+	if next := term/2 + period; Hinted(0, term, period) <= int64(next) {
+		t.Error("a hint lapses before the next answer")
+	}
+	if Away(0, 4*period, period) || !Away(0, 4*period+1, period) {
+		t.Error("away is told wrongly")
+	}
+}
--- a/internal/lab/fleet/rig.go
+++ b/internal/lab/fleet/rig.go
@@ -199,6 +199,7 @@
 	}
 	cmd := exec.Command(r.Program, c.args...)
 	cmd.Env = append(slices.Clone(c.env), r.Env...)
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // a rig that is killed leaves no process behind
 	log, err := os.OpenFile(r.log(c), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	r.must(err)
 	out, err := cmd.StderrPipe()
--- a/internal/lab/memberscost/main.go
+++ b/internal/lab/memberscost/main.go
@@ -7,12 +7,12 @@
 	"flag"
 	"fmt"
 	"log"
-	"os"
 	"path/filepath"
 	"runtime"
 	"slices"
 	"time"
 
+	"sedgestream/internal/lab/bench"
 	"sedgestream/internal/lab/day"
 	"sedgestream/internal/lab/fleet"
 	"sedgestream/internal/lab/membersim"
@@ -152,29 +152,6 @@
 	}
 }
 
-// bench is the standin.Test of a measurement: what fails ends it.
-type bench struct{ cleanups []func() }
-
-func (*bench) Helper()                   {}
-func (*bench) Fatal(args ...any)         { log.Fatal(args...) }
-func (*bench) Error(args ...any)         { log.Fatal(args...) }
-func (*bench) Errorf(f string, a ...any) { log.Fatalf(f, a...) }
-func (*bench) Failed() bool              { return false }
-func (b *bench) Cleanup(f func())        { b.cleanups = append(b.cleanups, f) }
-func (b *bench) TempDir() string {
-	dir, err := os.MkdirTemp("", "memberscost")
-	if err != nil {
-		log.Fatal(err)
-	}
-	b.Cleanup(func() { os.RemoveAll(dir) })
-	return dir
-}
-func (b *bench) end() {
-	for _, f := range slices.Backward(b.cleanups) {
-		f()
-	}
-}
-
 // processes measures real ones that carry nothing, at periods of one second.
 func processes() {
 	fmt.Println("| processes | words an instance and second | bytes | CPU of a forwarder, ms a second: median | most | CPU of a planner | memory of a forwarder, MB | all agree after, s |")
@@ -183,7 +160,7 @@
 		if n > *idle || n < *least {
 			continue
 		}
-		b := &bench{}
+		b := &bench.Bench{}
 		nodes := []*standin.Node{standin.NewNode(b, "source"), standin.NewNode(b, "copy")}
 		path, err := filepath.Abs(*program)
 		if err != nil {
@@ -199,6 +176,6 @@
 		time.Sleep(5*time.Second + time.Duration(n)*200*time.Millisecond) // till the start is no news any more
 		c := r.Cost(10 * time.Second)
 		fmt.Printf("| %d | %.1f | %.0f | %.1f | %.1f | %.1f | %.1f | %.1f |\n", n, c.Words, c.Bytes, at(c.Forwarders, 0.5), at(c.Forwarders, 1), at(c.Planners, 0.5), c.Memory, agreed.Seconds())
-		b.end()
+		b.End()
 	}
 }
--- a/internal/lab/routeterms/main.go
+++ b/internal/lab/routeterms/main.go
@@ -18,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"sedgestream/internal/lab/bench"
 	"sedgestream/internal/standin"
 )
 
@@ -41,36 +42,13 @@
 	}
 }
 
-// bench is the test that stand-ins want; it ends the program at any failure, and cleans up when told.
-type bench struct{ cleanups []func() }
-
-func (*bench) Helper()                           {}
-func (*bench) Fatal(args ...any)                 { log.Fatal(args...) }
-func (*bench) Error(args ...any)                 { log.Print(args...) }
-func (*bench) Errorf(format string, args ...any) { log.Printf(format, args...) }
-func (*bench) Failed() bool                      { return false }
-func (b *bench) Cleanup(f func())                { b.cleanups = append(b.cleanups, f) }
-func (b *bench) TempDir() string {
-	dir, err := os.MkdirTemp("", "routeterms")
-	if err != nil {
-		log.Fatal(err)
-	}
-	b.Cleanup(func() { os.RemoveAll(dir) })
-	return dir
-}
-func (b *bench) end() {
-	for _, f := range slices.Backward(b.cleanups) {
-		f()
-	}
-}
-
 // contract is brisk: views have 400 ms, clients wait 2 s, second copies are allowed.
 var contract = strings.NewReplacer(`"aimUs":80000,"deadlineUs":30000000,"repeat":"pure"`, `"aimUs":400000,"deadlineUs":2000000,"repeat":"pure"`,
 	`"deadlineUs":30000000`, `"deadlineUs":2000000`, `"windowUs":30000000`, `"windowUs":1200000`, `"sendCap":3`, `"sendCap":4`,
 	`"secondCopies":false`, `"secondCopies":true`, `"connectTimeoutUs":5000000`, `"connectTimeoutUs":20000`).Replace(standin.Contract)
 
 // start has a router among a primary and four replicas; terms is a file's text, or "".
-func start(b *bench, program, terms string, prepare func(i int, n *standin.Node)) *standin.Fleet {
+func start(b *bench.Bench, program, terms string, prepare func(i int, n *standin.Node)) *standin.Fleet {
 	nodes := []*standin.Node{standin.NewNode(b, "source")}
 	for range 4 {
 		nodes = append(nodes, standin.NewNode(b, "copy"))
@@ -201,8 +179,8 @@
 	}
 	variants = variants[:min(most, len(variants))]
 	out := each(variants, func(v variant, f figures) {
-		b := &bench{}
-		defer b.end()
+		b := &bench.Bench{}
+		defer b.End()
 		fleet := start(b, v.program, v.terms, quick)
 		load(fleet, 32, time.Second)
 		used := cpu(fleet)
@@ -232,8 +210,8 @@
 func swap() {
 	sizes := []int{0, 100, 1000, 10_000}
 	out := each(sizes, func(n int, f figures) {
-		b := &bench{}
-		defer b.end()
+		b := &bench.Bench{}
+		defer b.End()
 		fleet := start(b, *program, routes(1), quick)
 		load(fleet, 8, 500*time.Millisecond)
 		if n > 0 {
@@ -287,8 +265,8 @@
 		{"copies after 50 ms", one(`"copies": {"after": "50ms", "part": 0.1}`)},
 		{"copies after a learnt 0.95", one(`"copies": {"after": {"quantile": 0.95, "floor": "10ms", "ceiling": "200ms"}, "part": 0.1}`)}}
 	out := each(variants, func(v variant, f figures) {
-		b := &bench{}
-		defer b.end()
+		b := &bench.Bench{}
+		defer b.End()
 		fleet := start(b, *program, v.terms, func(i int, n *standin.Node) {
 			var troubles []standin.Trouble
 			if i == 4 {
@@ -335,8 +313,8 @@
 	variants := []variant{{"no file", ""}, {"budget of a tenth, floor 10",
 		`{"version": 1, "routes": [{"name": "all", "match": {}, "terms": {"budget": {"share": 0.1, "over": "10s", "floor": 10}}}]}`}}
 	out := each(variants, func(v variant, f figures) {
-		b := &bench{}
-		defer b.end()
+		b := &bench.Bench{}
+		defer b.End()
 		begin := time.Now()
 		fleet := start(b, *program, v.terms, func(_ int, n *standin.Node) {
 			room := make(chan struct{}, most)
