A router without jobs wakes only when something is due

What goes by time alone (ghosts, what warm nodes bore) is made up for when the next job comes or a share is asked for.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -46,11 +46,10 @@
 // Open starts a router.
 func Open(c *Contract, seed uint64, out Outside, now int64) *Router {
 	r := &Router{out: out, chance: chance(seed&0x7fffffffffff | 1<<32 | 1), shared: opened,
-		marks: map[uint32][]int32{}}
+		marks: map[uint32][]int32{}, wakeAt: math.MaxInt64, looked: now}
 	r.Heed(c)
 	r.listen(now)
 	r.ListMoved(now)
-	out.Alarm(r.sweep)
 	return r
 }
 
@@ -97,12 +96,14 @@
 // ListMoved has the list asked for anew, at a random moment soon.
 func (r *Router) ListMoved(now int64) {
 	r.backoff, r.watchAt = r.leastBackoff, now+r.chance.below(r.leastBackoff)
+	r.rouse(now)
 }
 
 // ListFailed tells that asking for the list failed, or that the watch broke. The next try comes later
 // each time and at a random moment, so that routers that start or fail together don't ask together.
 func (r *Router) ListFailed(now int64) {
 	r.watchAt, r.backoff = now+r.backoff/2+r.chance.below(r.backoff), min(2*r.backoff, 10*r.leastBackoff)
+	r.rouse(now)
 }
 
 // probe asks a node for its report, unless a probe of it is out.
@@ -130,6 +131,7 @@
 // wrote, 0 for never. The terms narrow what follows.
 func (r *Router) Take(now int64, p Place, t, g int, wait, wrote int64, terms *Terms) {
 	j := &r.jobs[p]
+	r.rouse(now)
 	if r.purse += probing; !r.sparse() && r.check || r.isTold(now) {
 		r.purse -= probing * (1 - quick/2)
 	}
@@ -433,6 +435,7 @@
 // the least that any job takes. No share: it is not young.
 func (r *Router) Share(now int64, n int) (share, want, least float64) {
 	if m := &r.nodes[n]; m.group >= 0 && r.warmth(m, now) < 1 && r.open(m) {
+		r.rouse(now)
 		share, want, least = r.ownShare(m, now), r.borne*m.weight, math.MaxFloat64
 		for i := range r.tariffs {
 			if t := &r.tariffs[i]; !t.past {
@@ -533,8 +536,7 @@
 	k := &j.trips[leg]
 	m, t := &r.nodes[k.node], &r.tariffs[j.tariff]
 	k.out, k.ending = false, e
-	j.out--
-	if !k.lost {
+	if j.out--; !k.lost {
 		m.held--
 	}
 	if e <= Full || e == Failed {
@@ -651,8 +653,7 @@
 
 // alive takes in a sign of life. A node that was out of reach may have started again, and so may be cold.
 func (m *node) alive(now int64) {
-	m.heard = now
-	if m.unreached {
+	if m.heard = now; m.unreached {
 		m.unreached, m.started = false, now
 	}
 }
@@ -696,8 +697,7 @@
 	if j.over || j.out > 0 && now < j.limit {
 		return
 	}
-	j.over = true
-	if away = max(away, j.terms.AwayLeast); j.terms.AwayMost > 0 {
+	if j.over, away = true, max(away, j.terms.AwayLeast); j.terms.AwayMost > 0 {
 		away = min(away, j.terms.AwayMost)
 	}
 	t := &r.tariffs[j.tariff]
@@ -761,6 +761,7 @@
 			r.out.Tell(from, heading(now))
 		}
 	}
+	r.rouse(now)
 }
 
 // near tells whether the node is in the router's own zone, as all are where no zone is said.
@@ -769,10 +770,9 @@
 // Probed takes in a probe's result.
 func (r *Router) Probed(now int64, n int, ok bool, rep Report) {
 	m := &r.nodes[n]
-	m.probing = false
 	// A probe that fails says nothing of trips: it may have been one of too many at once, or be all that
 	// fails there. Nodes that serve nothing show it by their trips.
-	if ok {
+	if m.probing = false; ok {
 		r.reported(m, now, rep)
 		if m.answered = now; m.unreached {
 			m.alive(now)
@@ -783,14 +783,13 @@
 
 // Wake is the alarm: it looks after the nodes, the groups, and the jobs that wait.
 func (r *Router) Wake(now int64) {
-	r.out.Alarm(r.sweep)
 	if r.asking && r.watchAt > 0 && now >= r.watchAt {
 		r.watchAt = 0
 		r.out.Watch()
 	}
 	r.speak(now)
-	sum, warm := 0.0, 0.0
-	r.dearest = 0
+	sum, warm, fades := 0.0, 0.0, math.Pow(1-slow, float64(now-r.looked)/float64(r.sweep))
+	r.wakeAt, r.looked, r.dearest = math.MaxInt64, now, 0
 	for i := range r.tariffs {
 		if t := &r.tariffs[i]; !t.past && t.Need < Fresh {
 			r.dearest = max(r.dearest, t.Earnings/t.usual)
@@ -799,7 +798,7 @@
 	for i := range r.nodes {
 		m := &r.nodes[i]
 		r.decay(m, now)
-		m.ghosts *= 1 - slow
+		m.ghosts *= fades
 		if r.open(m) && r.warmth(m, now) >= 1 {
 			sum, warm = sum+m.work/m.weight, warm+1
 		}
@@ -813,6 +812,7 @@
 		}
 	}
 	r.release(now)
+	r.rouse(now)
 }
 
 // release places the held jobs anew, by their hard limits, and no more at once than there is room for.
--- a/balance/helpers_test.go
+++ b/balance/helpers_test.go
@@ -49,6 +49,9 @@
 	terms   Terms // of the jobs to come
 	grants  int   // how many of the next further trips are granted
 	granted Place // whom the last one was granted to, until its trip; below 0: nobody
+	alarm   int64 // when the alarm rings
+	wakes   int   // how often it did
+	exact   bool  // the router is woken by its alarm alone, and not each few milliseconds
 	dense   bool  // the router is to think that its own counts tell something
 }
 
@@ -186,7 +189,7 @@
 }
 
 func (l *ledger) Terminate(p Place) { l.say("terminate %d", p); l.final(p) }
-func (l *ledger) Alarm(after int64) {}
+func (l *ledger) Alarm(after int64) { l.alarm = l.now + after }
 func (l *ledger) Probe(node int)    { l.say("probe %d", node); l.probes = append(l.probes, node) }
 func (l *ledger) Log(int, string)   {}
 func (l *ledger) Tell(_ int, words []byte) {
@@ -279,6 +282,10 @@
 				i = -1
 			}
 		}
+		if l.exact && l.now < l.alarm {
+			continue
+		}
+		l.wakes++
 		l.r.Wake(l.now)
 		// A job given up is answered at once: none is held that won't be sent again.
 		for i := range l.r.jobs {
--- a/balance/shape_test.go
+++ b/balance/shape_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 )
@@ -230,3 +231,49 @@
 		t.Fatal(l.log)
 	}
 }
+
+// Guards against hundreds of routers on one machine that wake for nothing: one without jobs rings its alarm for the list and for
+// news alone. What went by time alone meanwhile is as if it had been woken at each sweep.
+func TestIdleRouterSleeps(t *testing.T) {
+	c := shop()
+	c.RoutersTalk = true
+	woken, asleep := newLedger(c, 5), newLedger(c, 5)
+	asleep.exact = true
+	for _, l := range []*ledger{woken, asleep} {
+		l.list(node{listed: true}, node{})
+		l.heard(0, Primary, l.now)
+		l.heard(1, Replica, l.now)
+		for range 50 {
+			l.take(0, 0, 300*ms, 0)
+			for i := 0; i < len(l.trips); i++ {
+				if l.trips[i].open {
+					l.end(i, Done, Note{Position: l.now}, Report{Held: -1})
+					i = -1
+				}
+			}
+			l.pass(c.Tick)
+		}
+		l.r.nodes[1].ghosts = 3
+		l.wakes, l.probes = 0, nil
+		l.pass(20 * c.FallSpan)
+		l.take(0, 0, 300*ms, 0)
+	}
+	a, b := woken.r, asleep.r
+	if g, w := b.nodes[1].ghosts, a.nodes[1].ghosts; math.Abs(g-w) > 0.01 || math.Abs(a.borne-b.borne) > 0.01*a.borne+1 {
+		t.Errorf("ghosts %v, borne %v; awake %v, %v", g, b.borne, w, a.borne)
+	}
+	if most := 200; asleep.wakes > most || len(asleep.probes) < len(woken.probes)/2 || len(woken.probes) == 0 {
+		t.Errorf("%d wakes in twenty spans, %d probes for news; awake %d", asleep.wakes, len(asleep.probes), len(woken.probes))
+	}
+	// A job that waits rings it again, however many came before.
+	for range 40 {
+		asleep.take(int(Write), 0, 300*ms, 0)
+		asleep.pass(5 * ms)
+	}
+	if late := asleep.alarm - asleep.now; late > asleep.r.sweep {
+		t.Errorf("with jobs in hand the alarm rings in %d", late)
+	}
+	if asleep.broken != "" {
+		t.Error(asleep.broken)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -17,6 +17,7 @@
 	second, probes, check, asking         bool
 	whole                                 bool  // the list being told is whole
 	sweep, refresh, useful, away, age     int64 // age: of reports, on average
+	looked, wakeAt                        int64 // when it last looked after what goes by time, and when its alarm rings
 	asideFor, grace, coldFor, span        int64
 	startShare, perSpan                   float64
 	peers, speaking, goneMayServe         bool
@@ -129,6 +130,33 @@
 	}
 }
 
+// rouse has the alarm ring when something is due: each sweep while there are jobs, else for the list and for news. It only
+// ever comes earlier by that, so that ever new jobs don't put it off. What went by time alone meanwhile is made up for.
+func (r *Router) rouse(now int64) {
+	if now-r.looked >= 2*r.sweep && r.wakeAt > now {
+		r.Wake(now)
+		return
+	}
+	at := now + r.sweep
+	if len(r.jobs) == len(r.free) {
+		at = now + max(r.span, r.sweep) // as words of others may be due by then
+		if r.asking && r.watchAt > 0 {
+			at = min(at, r.watchAt)
+		}
+		if r.peers {
+			at = min(at, r.speakAt)
+			if r.speaking && r.tellAt > 0 {
+				at = min(at, r.tellAt)
+			}
+		}
+		at = max(at, now+r.sweep)
+	}
+	if at < r.wakeAt {
+		r.wakeAt = at
+		r.out.Alarm(at - now)
+	}
+}
+
 // enter gives a tariff its number: the one that it had under an earlier contract, with what was learnt then, else a new
 // one, since jobs in hand may have any other. The first of a contract makes all those before past.
 func (r *Router) enter(t tariff, first bool) int {
