--- /dev/null
+++ b/internal/lab/day/file.go
@@ -0,0 +1,194 @@
+package day
+
+import (
+	_ "embed" // of the schema
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"sedgestream/internal/paper"
+)
+
+// Text is the schema of files of days, as it is published.
+//
+//go:embed day.schema.json
+var Text []byte
+
+var schema = sync.OnceValue(func() *paper.Schema { return paper.NewSchema(Text) })
+
+// Fleet is who takes part where a day is played among processes.
+type Fleet struct {
+	Planners, Routers, Plain int // the first instances; those behind; the last of these, that heed no planner
+	Groups, Nodes            int // of nodes; in each
+	Cores                    int // of a node; 0: it works on any number of jobs at a time
+	Work                     time.Duration
+	Clients                  int // of each router
+	Pause                    time.Duration
+	Contract                 string // a file with the routers' settings; "" for the rig's own
+}
+
+// Usual is what stands where a file says nothing.
+func Usual() Fleet {
+	return Fleet{Planners: 3, Groups: 1, Nodes: 4, Work: 2 * time.Millisecond, Clients: 1, Pause: 250 * time.Millisecond}
+}
+
+// usualPeriod is that of the membership's probes.
+const usualPeriod = 200 * time.Millisecond
+
+// The form of the file: times as text, so that people can write them.
+type (
+	fileDay struct {
+		Version int         `json:"version"`
+		Note    string      `json:"note,omitempty"`
+		Seed    uint64      `json:"seed,omitempty"`
+		Period  string      `json:"period,omitempty"`
+		Span    string      `json:"span,omitempty"`
+		Fleet   fileFleet   `json:"fleet"`
+		Faults  []fileFault `json:"faults"`
+	}
+	fileFleet struct {
+		Planners *int   `json:"planners,omitempty"`
+		Routers  int    `json:"routers"`
+		Plain    int    `json:"plain,omitempty"`
+		Groups   int    `json:"groups,omitempty"`
+		Nodes    int    `json:"nodes,omitempty"`
+		Cores    int    `json:"cores,omitempty"`
+		Work     string `json:"work,omitempty"`
+		Clients  *int   `json:"clients,omitempty"`
+		Pause    string `json:"pause,omitempty"`
+		Contract string `json:"contract,omitempty"`
+	}
+	fileFault struct {
+		At     string  `json:"at"`
+		For    string  `json:"for,omitempty"`
+		Kind   Kind    `json:"kind"`
+		Who    []int   `json:"who,omitempty"`
+		Others []int   `json:"others,omitempty"`
+		Part   float64 `json:"part,omitempty"`
+		Span   string  `json:"span,omitempty"`
+	}
+)
+
+// span writes a time; none is no text.
+func span(d time.Duration) string {
+	if d == 0 {
+		return ""
+	}
+	return d.String()
+}
+
+// Write writes the day down, as Read reads it.
+func (d *Day) Write(path string) error {
+	f := &d.Fleet
+	out := fileDay{Version: 1, Note: d.Note, Seed: d.Seed, Period: span(d.Period), Span: span(d.Span), Fleet: fileFleet{Planners: &f.Planners, Routers: f.Routers,
+		Plain: f.Plain, Groups: f.Groups, Nodes: f.Nodes, Cores: f.Cores, Work: span(f.Work), Clients: &f.Clients, Pause: span(f.Pause), Contract: f.Contract},
+		Faults: []fileFault{}}
+	for _, x := range d.Faults {
+		out.Faults = append(out.Faults, fileFault{At: x.At.String(), For: span(x.For), Kind: x.Kind, Who: x.Who, Others: x.Others, Part: x.Part, Span: span(x.Span)})
+	}
+	text, err := json.MarshalIndent(out, "", "  ")
+	if err == nil {
+		err = os.WriteFile(path, append(text, '\n'), 0o644)
+	}
+	return err
+}
+
+// Read reads a day that was written down, by the rig or by hand. An error is paper.Faults if the file could be read at all.
+func Read(path string) (*Day, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	s := paper.Read(path, text)
+	if s.Value == nil {
+		return nil, s.Err()
+	}
+	if !s.Check(schema()) {
+		return nil, s.Err()
+	}
+	var in fileDay
+	if err := json.Unmarshal(text, &in); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	var notes []paper.Note
+	note := func(at, format string, args ...any) {
+		notes = append(notes, paper.Note{At: at, Reason: fmt.Sprintf(format, args...)})
+	}
+	read := func(at, text string, usual time.Duration) time.Duration {
+		if text == "" {
+			return usual
+		}
+		d, err := time.ParseDuration(text)
+		if err != nil {
+			note(at, "%q is no time", text)
+		}
+		return d
+	}
+	or := func(n, usual int) int {
+		if n == 0 {
+			return usual
+		}
+		return n
+	}
+	u := Usual()
+	d := &Day{Seed: in.Seed, Note: in.Note, Period: read("/period", in.Period, usualPeriod), Fleet: Fleet{Planners: u.Planners, Routers: in.Fleet.Routers, Plain: in.Fleet.Plain,
+		Groups: or(in.Fleet.Groups, u.Groups), Nodes: or(in.Fleet.Nodes, u.Nodes), Cores: in.Fleet.Cores, Work: read("/fleet/work", in.Fleet.Work, u.Work),
+		Clients: u.Clients, Pause: read("/fleet/pause", in.Fleet.Pause, u.Pause), Contract: in.Fleet.Contract}}
+	if in.Fleet.Planners != nil {
+		d.Fleet.Planners = *in.Fleet.Planners
+	}
+	if in.Fleet.Clients != nil {
+		d.Fleet.Clients = *in.Fleet.Clients
+	}
+	if d.Period < 10*time.Millisecond {
+		note("/period", "%v is shorter than 10ms", d.Period)
+	}
+	if d.Fleet.Plain > d.Fleet.Routers {
+		note("/fleet/plain", "%d of %d routers", d.Fleet.Plain, d.Fleet.Routers)
+	}
+	d.Instances = d.Fleet.Planners + d.Fleet.Routers
+	for i, x := range in.Faults {
+		at := fmt.Sprintf("/faults/%d", i)
+		f := Fault{At: read(at+"/at", x.At, 0), For: read(at+"/for", x.For, 0), Kind: x.Kind, Who: x.Who, Others: x.Others, Part: x.Part, Span: read(at+"/span", x.Span, 0)}
+		most, what := d.Instances, "instance"
+		if f.Kind == Cold || f.Kind == Weak {
+			most, what = d.Fleet.Groups*d.Fleet.Nodes, "node"
+		}
+		for _, w := range slices.Concat(f.Who, f.Others) {
+			if w >= most {
+				note(at, "it names %s %d of %d", what, w, most)
+			}
+		}
+		if reason := f.wrong(); reason != "" {
+			note(at, "%s", reason)
+		}
+		d.Faults = append(d.Faults, f)
+	}
+	d.Sort()
+	d.Span = max(read("/span", in.Span, 0), d.Last())
+	s.Add(notes)
+	if err := s.Err(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// wrong is why a fault can't be played, if so.
+func (f *Fault) wrong() string {
+	whom := map[Kind]bool{Kill: true, Stop: true, Leave: true, Split: true, OneWay: true, Mute: true, Twin: true, Drain: true, Weak: true,
+		Slow: true, Garbage: true, Names: true}
+	switch {
+	case whom[f.Kind] && len(f.Who) == 0:
+		return fmt.Sprintf("%s needs to know who", f.Kind)
+	case (f.Kind == OneWay || f.Kind == Mute) && len(f.Others) == 0:
+		return fmt.Sprintf("%s needs others", f.Kind)
+	case f.Part > 1 && f.Kind != Throttle && f.Kind != Garbage && f.Kind != Names && f.Kind != Weak:
+		return fmt.Sprintf("a part of %v", f.Part)
+	case f.Kind == Weak && f.Part <= 0:
+		return "weak needs a part above 0"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/lab/fleet/flood.go
@@ -0,0 +1,99 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"time"
+
+	"sedgestream/internal/decide/members"
+	"sedgestream/internal/lab/day"
+	"sedgestream/internal/words"
+)
+
+// namesIn is how many made-up names a datagram tells.
+const namesIn = 12
+
+// flood sends what nobody should believe to some instances, past all relays, for as long as the fault is on: spoilt datagrams, or
+// well-formed ones that tell names which nobody has.
+func (r *Rig) flood(k int, f *day.Fault, whom []*proc) {
+	sock, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		r.fault("no socket for %s: %v", f.Kind, err)
+		return
+	}
+	defer sock.Close()
+	chance := rand.New(rand.NewPCG(r.Seed, uint64(k)))
+	mark := words.MarkOf(r.fleetName())
+	each := f.Part
+	if f.Kind == day.Names {
+		each /= namesIn
+	}
+	const beat = 10 * time.Millisecond
+	due, serial := 0.0, 0
+	for r.still(k) {
+		time.Sleep(beat)
+		for due += each * beat.Seconds(); due >= 1; due-- {
+			text := spoilt(chance, mark)
+			if f.Kind == day.Names {
+				text = madeUp(mark, &serial)
+			}
+			for _, c := range whom {
+				r.mu.Lock()
+				at := c.member
+				r.mu.Unlock()
+				if to, err := net.ResolveUDPAddr("udp", at); err == nil {
+					sock.WriteToUDP(text, to)
+				}
+			}
+		}
+	}
+}
+
+// word is a sound one of a member that nobody knows.
+func word(name string) *members.Word {
+	return &members.Word{Kind: members.News, From: members.Record{Name: name, Address: "127.0.0.1:9", Life: 7, Incarnation: 1}}
+}
+
+// spoilt is a datagram that is none of ours: noise, one cut off, one of another version or fleet, one with a field out of bounds, or
+// one that is too long.
+func spoilt(chance *rand.Rand, mark words.Mark) []byte {
+	noise := make([]byte, 1+chance.IntN(members.MostWord))
+	for i := range noise {
+		noise[i] = byte(chance.Uint32())
+	}
+	sound, _ := words.AppendDatagram(word("ghost"), mark)
+	switch chance.IntN(6) {
+	case 0:
+		return noise
+	case 1:
+		return sound[:chance.IntN(len(sound))]
+	case 2:
+		sound[0]++
+		return sound
+	case 3:
+		foreign, _ := words.AppendDatagram(word("ghost"), mark+1)
+		return foreign
+	case 4:
+		w := word("ghost")
+		w.From.Incarnation = members.MostIncarnation + 1
+		wild, _ := words.AppendDatagram(w, mark)
+		return wild
+	}
+	return append(sound, make([]byte, 20<<10)...)
+}
+
+// madeUp tells of some that were never there.
+func madeUp(mark words.Mark, serial *int) []byte {
+	w := word("liar")
+	for range namesIn {
+		*serial++
+		w.Rumors = append(w.Rumors, members.Record{Name: fmt.Sprintf("nobody%07d", *serial), Address: "127.0.0.1:9", Life: uint64(*serial), Incarnation: 1})
+	}
+	text, _ := words.AppendDatagram(w, mark)
+	return text
+}
+
+// fleetName keeps rigs on one machine apart.
+func (r *Rig) fleetName() string { return fmt.Sprintf("rig %d", os.Getpid()) }
--- /dev/null
+++ b/internal/lab/fleet/play.go
@@ -0,0 +1,430 @@
+package fleet
+
+import (
+	"fmt"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"sedgestream/internal/lab/day"
+	"sedgestream/internal/standin"
+	"sedgestream/internal/standin/link"
+)
+
+// pollEach is how many instances may be asked within two periods; more are asked less often, as asking costs them something.
+const pollEach = 60
+
+// Play plays the day from now on, polls every instance meanwhile, and goes on until all agree or so many periods after the
+// last fault have passed.
+func (r *Rig) Play(d *day.Day, grace float64) *Verdict {
+	r.must(r.written(d).Write(filepath.Join(r.Folder, "day.json")))
+	begun := time.Now()
+	r.dayBegun = begun
+	type turn struct {
+		at time.Duration
+		k  int
+		on bool
+	}
+	var turns []turn
+	for k, f := range d.Faults {
+		turns = append(turns, turn{f.At, k, true})
+		if f.For > 0 {
+			turns = append(turns, turn{f.End(), k, false})
+		}
+	}
+	slices.SortStableFunc(turns, func(a, b turn) int { return int(a.at - b.at) })
+	polling := make(chan struct{})
+	var polled sync.WaitGroup
+	polled.Add(1)
+	go func() {
+		defer polled.Done()
+		for {
+			select {
+			case <-polling:
+				return
+			case <-time.After(2 * r.Period * time.Duration(1+len(r.procs)/pollEach)):
+				r.poll()
+			}
+		}
+	}()
+	for _, t := range turns {
+		time.Sleep(time.Until(begun.Add(t.at)))
+		r.turn(t.k, &d.Faults[t.k], t.on)
+	}
+	time.Sleep(time.Until(begun.Add(d.Span)))
+	last := time.Now()
+	v := &Verdict{Agreed: -1}
+	for time.Since(last) < time.Duration(grace*float64(r.Period)) {
+		if r.agree() {
+			v.Agreed = float64(time.Since(last)) / float64(r.Period)
+			break
+		}
+		time.Sleep(r.Period / 2)
+	}
+	r.say("all agree %.1f periods after the last fault", v.Agreed)
+	close(polling)
+	polled.Wait()
+	close(r.stop)
+	r.tasks.Wait()
+	r.judge(v)
+	return v
+}
+
+// written is the day with who takes part, so that it can be played again from the file alone.
+func (r *Rig) written(d *day.Day) *day.Day {
+	w := *d
+	f := &w.Fleet
+	f.Planners, f.Routers, f.Plain, f.Clients, f.Pause = r.Planners, r.Routers, r.Plain, r.Clients, r.Every
+	f.Groups = len(r.groups())
+	f.Nodes = len(r.Nodes) / max(1, f.Groups)
+	return &w
+}
+
+// groups are those of the nodes, as clients name them.
+func (r *Rig) groups() (gs []int) {
+	for _, n := range r.Nodes {
+		if !slices.Contains(gs, n.Group) {
+			gs = append(gs, n.Group)
+		}
+	}
+	return gs
+}
+
+// say tells whoever watches.
+func (r *Rig) say(format string, args ...any) {
+	if r.Progress != nil {
+		r.Progress(fmt.Sprintf("%5.1f s  ", time.Since(r.begun).Seconds()) + fmt.Sprintf(format, args...))
+	}
+}
+
+// turn has a fault begin or end.
+func (r *Rig) turn(k int, f *day.Fault, on bool) {
+	r.mu.Lock()
+	if on {
+		r.on[k] = f
+	} else {
+		delete(r.on, k)
+	}
+	var procs []*proc
+	if f.Kind != day.Cold && f.Kind != day.Weak {
+		for _, n := range f.Who {
+			procs = append(procs, r.procs[n])
+		}
+	}
+	r.marks = append(r.marks, mark{time.Now(), f, on})
+	r.mu.Unlock()
+	if on {
+		r.say("%s", tellFault(f))
+	} else {
+		r.say("%s is over", f.Kind)
+	}
+	switch f.Kind {
+	case day.Split, day.OneWay, day.Loss, day.Late, day.Double, day.Mute, day.Throttle, day.Old:
+		r.weather()
+	case day.Drain:
+		r.drain(f, on)
+	case day.Twin:
+		r.twin(procs[0], on)
+	case day.Cold:
+		r.cold(f, on)
+	case day.Weak:
+		for _, n := range f.Who {
+			r.Nodes[n].Strength(map[bool]float64{true: f.Part, false: 1}[on])
+		}
+	case day.Garbage, day.Names:
+		if on {
+			r.tasks.Add(1)
+			go func() { defer r.tasks.Done(); r.flood(k, f, procs) }()
+		}
+	default:
+		var all sync.WaitGroup
+		for _, c := range procs {
+			all.Add(1)
+			go func() { defer all.Done(); r.befall(k, f, c, on) }()
+		}
+		all.Wait()
+	}
+}
+
+// tellFault says in words what begins.
+func tellFault(f *day.Fault) string {
+	s := string(f.Kind)
+	if len(f.Who) > 0 {
+		s += fmt.Sprintf(" %v", f.Who)
+	}
+	if len(f.Others) > 0 {
+		s += fmt.Sprintf(" to %v", f.Others)
+	}
+	if f.Part != 0 {
+		s += fmt.Sprintf(", part %.2f", f.Part)
+	}
+	if f.For > 0 {
+		s += fmt.Sprintf(", for %v", f.For)
+	}
+	return s
+}
+
+// befall has a process be killed, stopped, told to leave or starved, or the contrary.
+func (r *Rig) befall(k int, f *day.Fault, c *proc, on bool) {
+	switch {
+	case f.Kind == day.Stop && on:
+		r.signal(c, syscall.SIGSTOP)
+	case f.Kind == day.Stop:
+		r.signal(c, syscall.SIGCONT)
+	case f.Kind == day.Slow && on:
+		r.tasks.Add(1)
+		go func() { defer r.tasks.Done(); r.starve(k, f, c) }()
+	case f.Kind == day.Slow: // starve sees that it is over
+	case on && f.Kind == day.Kill:
+		r.end(c, syscall.SIGKILL)
+	case on && f.Kind == day.Leave:
+		r.end(c, syscall.SIGTERM)
+	default:
+		if !r.running(c) {
+			r.start(c)
+		}
+	}
+}
+
+// still tells whether a fault is on.
+func (r *Rig) still(k int) bool {
+	select {
+	case <-r.stop:
+		return false
+	default:
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.on[k] != nil
+}
+
+// slice is the time in which a starved process runs for its part.
+const slice = 200 * time.Millisecond
+
+// starve has a process run for a part of the time only.
+func (r *Rig) starve(k int, f *day.Fault, c *proc) {
+	mark := func(slow bool, s syscall.Signal) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if c.up {
+			c.cmd.Process.Signal(s)
+			c.slow, c.since = slow, time.Now()
+		}
+	}
+	for r.still(k) {
+		mark(true, syscall.SIGSTOP)
+		time.Sleep(time.Duration((1 - f.Part) * float64(slice)))
+		mark(true, syscall.SIGCONT)
+		time.Sleep(time.Duration(f.Part * float64(slice)))
+	}
+	mark(false, syscall.SIGCONT)
+}
+
+// twin starts another process with the name of one, or ends it.
+func (r *Rig) twin(c *proc, on bool) {
+	if !on {
+		for _, t := range r.all() {
+			if t.twin && t.name == c.name {
+				r.end(t, syscall.SIGKILL)
+			}
+		}
+		return
+	}
+	r.mu.Lock()
+	n := len(r.procs)
+	r.mu.Unlock()
+	t := r.prepare(n, c.name)
+	r.mu.Lock()
+	r.procs = append(r.procs, t)
+	r.mu.Unlock()
+	r.start(t)
+}
+
+// replica is the number of a replica by a part of them all.
+func (r *Rig) replica(part float64) int {
+	var ns []int
+	for n, node := range r.Nodes {
+		if node.Role != "source" {
+			ns = append(ns, n)
+		}
+	}
+	return ns[min(int(part*float64(len(ns))), len(ns)-1)]
+}
+
+// cold has nodes end, or come back as young ones, which all lists tell.
+func (r *Rig) cold(f *day.Fault, on bool) {
+	who := f.Who
+	if len(who) == 0 {
+		who = []int{r.replica(f.Part)}
+	}
+	if on {
+		for _, n := range who {
+			r.Nodes[n].Die()
+		}
+		return
+	}
+	entries := ""
+	for i, n := range who {
+		r.Nodes[n].Revive()
+		if i > 0 {
+			entries += ","
+		}
+		state := "up"
+		if r.told(n) { // a start does not undo a drain
+			state = "draining"
+		}
+		entries += r.Nodes[n].Entry(n, state)
+	}
+	r.mu.Lock()
+	r.version++
+	line := fmt.Sprintf("{\"version\":%d,\"full\":false,\"servers\":[%s]}\n", r.version, entries)
+	r.mu.Unlock()
+	for _, c := range r.all() {
+		if c.fleet != nil && !c.twin {
+			r.tell(c, line, nil)
+		}
+	}
+}
+
+// told tells whether any list says that a node drains.
+func (r *Rig) told(n int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.drained[n] != nil
+}
+
+// tell has a router's own list tell a line, as soon as it watches; then is called after that.
+func (r *Rig) tell(c *proc, line string, then func()) {
+	r.mu.Lock()
+	up := c.up
+	r.mu.Unlock()
+	r.tasks.Add(1)
+	go func() {
+		defer r.tasks.Done()
+		if up {
+			select {
+			case c.fleet.Changes <- line:
+			case <-time.After(5 * time.Second): // it has ended meanwhile
+				return
+			case <-r.stop:
+				return
+			}
+		}
+		if then != nil {
+			then()
+		}
+	}()
+}
+
+// drain has the lists of some routers tell that a replica drains; when the fault is over, those of all others.
+func (r *Rig) drain(f *day.Fault, on bool) {
+	node := r.replica(f.Part)
+	r.mu.Lock()
+	told := r.drained[node]
+	if told == nil {
+		told = map[string]time.Time{}
+		r.drained[node] = told
+		r.version++
+	}
+	version := r.version
+	r.mu.Unlock()
+	line := fmt.Sprintf("{\"version\":%d,\"full\":false,\"servers\":[%s]}\n", version, r.Nodes[node].Entry(node, "draining"))
+	for _, c := range r.all() {
+		if c.fleet == nil || c.twin || on && !slices.Contains(f.Who, c.number) {
+			continue
+		}
+		// A life to come knows it from its configuration.
+		r.mu.Lock()
+		for len(c.fleet.States) < len(r.Nodes) {
+			c.fleet.States = append(c.fleet.States, "up")
+		}
+		c.fleet.States[node], c.fleet.Version = "draining", version
+		r.mu.Unlock()
+		r.tell(c, line, func() {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			if told[c.name].IsZero() {
+				told[c.name] = time.Now()
+			}
+		})
+	}
+}
+
+// signal has a process stand still or go on.
+func (r *Rig) signal(c *proc, s syscall.Signal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c.up {
+		c.cmd.Process.Signal(s)
+		c.stopped, c.since = s == syscall.SIGSTOP, time.Now()
+	}
+}
+
+// end ends a process, and returns when it has ended.
+func (r *Rig) end(c *proc, s syscall.Signal) {
+	r.mu.Lock()
+	if !c.up {
+		r.mu.Unlock()
+		return
+	}
+	c.up, c.left, c.slow, c.since = false, s == syscall.SIGTERM, false, time.Now()
+	stopped := c.stopped
+	r.mu.Unlock()
+	c.cmd.Process.Signal(s)
+	if stopped {
+		c.cmd.Process.Signal(syscall.SIGCONT)
+	}
+	select {
+	case <-c.exit:
+	case <-time.After(standin.Patience):
+		r.fault("%s does not end by %v", c.name, s)
+		c.cmd.Process.Kill()
+		<-c.exit
+	}
+}
+
+// weather sets that of the network by the faults that are on.
+func (r *Rig) weather() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := link.Weather{}
+	var cuts, mutes []*day.Fault
+	for _, f := range r.on {
+		switch f.Kind {
+		case day.Loss:
+			w.Loss = max(w.Loss, f.Part)
+		case day.Double:
+			w.Double = max(w.Double, f.Part)
+		case day.Late:
+			w.Late, w.Span = f.Part, f.Span
+		case day.Old:
+			w.Old = max(w.Old, f.Part)
+		case day.Throttle:
+			w.Rate = int(f.Part * 1000)
+		case day.Mute:
+			mutes = append(mutes, f)
+		case day.Split, day.OneWay:
+			cuts = append(cuts, f)
+		}
+	}
+	if len(cuts) > 0 {
+		w.Cut = func(from, to int) bool { return cut(cuts, from, to) }
+	}
+	if len(mutes) > 0 {
+		w.Mute = func(from, to int) bool { return cut(mutes, from, to) }
+	}
+	r.Net.Set(w)
+}
+
+// cut tells whether one of the faults keeps what one says from another.
+func cut(fs []*day.Fault, from, to int) bool {
+	for _, f := range fs {
+		if f.Kind == day.Split && slices.Contains(f.Who, from) != slices.Contains(f.Who, to) ||
+			(f.Kind == day.OneWay || f.Kind == day.Mute) && slices.Contains(f.Who, from) && slices.Contains(f.Others, to) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/lab/fleet/show.go
@@ -0,0 +1,60 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"sedgestream/internal/decide/members"
+)
+
+// tell is what the instances believed at a moment, in a line: how many have which view, and who is amiss.
+func (p *poll) tell() string {
+	sizes := map[int]int{}
+	var amiss []string
+	for n, s := range p.truth {
+		v := p.views[n]
+		switch {
+		case !s.up && s.left:
+			amiss = append(amiss, fmt.Sprintf("%d has left", n))
+		case !s.up:
+			amiss = append(amiss, fmt.Sprintf("%d is down", n))
+		case s.stopped:
+			amiss = append(amiss, fmt.Sprintf("%d stands still", n))
+		case v == nil:
+			amiss = append(amiss, fmt.Sprintf("%d does not answer", n))
+		default:
+			sizes[len(v.View.Members)]++
+			if v.Holds.Situation != members.Whole && v.Holds.Situation != members.Started {
+				amiss = append(amiss, fmt.Sprintf("%s: %s", v.Self.Name, v.Holds.Situation))
+			}
+		}
+	}
+	var views []string
+	for size, n := range sizes {
+		views = append(views, fmt.Sprintf("%d believe in %d", n, size))
+	}
+	slices.Sort(views)
+	s := strings.Join(views, ", ")
+	const most = 8
+	if more := len(amiss) - most; more > 0 {
+		amiss = append(amiss[:most], fmt.Sprintf("and %d more", more))
+	}
+	if len(amiss) > 0 {
+		s += "; " + strings.Join(amiss, ", ")
+	}
+	return s
+}
+
+// tellClients is what clients got since the poll before.
+func (r *Rig) tellClients() string {
+	k := len(r.tally) - 1
+	now, was := r.tally[k], count{at: r.begun}
+	if k > 0 {
+		was = r.tally[k-1]
+	}
+	secs := now.at.Sub(was.at).Seconds()
+	rate := func(a, b int) float64 { return float64(a-b) / secs }
+	return fmt.Sprintf("clients: %.0f jobs done a second, %.0f bounced, %.0f otherwise; %d open", rate(now.done, was.done), rate(now.bounced, was.bounced),
+		rate(now.other, was.other), now.open)
+}
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -118,3 +119,15 @@
 	return fmt.Sprintf(`INSERT INTO objects (oid, body) VALUES ('7f3a9c21e0b4d655', '\x9f03') RETURNING body /* id=%016x,c=%s,d=%d,k=5c0f,cluster=2 */`,
 		lastID.Add(1), tariff, d)
 }
+
+// In is a query for another group.
+func In(group int, query string) string {
+	return strings.Replace(query, fmt.Sprintf("cluster=%d", usualGroup), fmt.Sprintf("cluster=%d", group), 1)
+}
+
+// Job is the id of a query.
+func Job(query string) string {
+	_, id, _ := strings.Cut(query, "id=")
+	id, _, _ = strings.Cut(id, ",")
+	return id
+}
