Hard cases of members each played among processes; sedgestream lab demo and lab fleet

Found: an instance that knew 16,384 names could not tell operators anything, as the frame was too long (TestMadeUpNames fails without).

--- /dev/null
+++ b/cmd/sedgestream/hardcases_test.go
@@ -0,0 +1,168 @@
+package main
+
+import (
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"sedgestream/internal/lab/day"
+	"sedgestream/internal/lab/fleet"
+	"sedgestream/internal/standin"
+)
+
+// hardPeriod is that of probes in hard cases.
+const hardPeriod = 200 * time.Millisecond
+
+// hard is a fleet of three planners and some routers under load among a primary and five replicas, through a day of its own.
+type hard struct {
+	routers int // 9 if 0
+	faults  []day.Fault
+	// calm says that no live one that can be reached may be called failed, not even for a moment.
+	calm   bool
+	absent []int // not there at the start
+	light  bool  // a client asks once a second
+	// also is what has to hold beside the rules and promises.
+	also func(t *testing.T, r *fleet.Rig, v *fleet.Verdict)
+}
+
+// p is so many periods.
+func p(n float64) time.Duration { return time.Duration(n * float64(hardPeriod)) }
+
+func span(from, to int) (who []int) {
+	for n := from; n < to; n++ {
+		who = append(who, n)
+	}
+	return who
+}
+
+// shift is what happens one after the other, each for so many periods.
+func shift(at, long float64, kind day.Kind, whos ...[]int) (fs []day.Fault) {
+	for k, who := range whos {
+		fs = append(fs, day.Fault{At: p(at + long*float64(k)), For: p(long), Kind: kind, Who: who})
+	}
+	return fs
+}
+
+// both cuts two sets off from each other, while all others reach both.
+func both(at, long float64, a, b []int) []day.Fault {
+	return []day.Fault{{At: p(at), For: p(long), Kind: day.OneWay, Who: a, Others: b}, {At: p(at), For: p(long), Kind: day.OneWay, Who: b, Others: a}}
+}
+
+// drainsBy sees that nothing of forwarders comes to the third replica once so many periods, and the grace, are over.
+func drainsBy(periods float64) func(t *testing.T, r *fleet.Rig, v *fleet.Verdict) {
+	return func(t *testing.T, r *fleet.Rig, v *fleet.Verdict) {
+		last := r.Last(3, func(n int) bool { return n < 3+9-1 }) // the last router heeds no planner
+		if at := last.Sub(r.Begun()); v.Drains == 0 || last.IsZero() || at > p(periods)+tierGrace+2*busy {
+			t.Errorf("%d drains; the last job came to the node %v after the day's begin", v.Drains, at)
+		}
+	}
+}
+
+// thirdReplica is the part by which a drain names it.
+const thirdReplica = 0.5
+
+var hardCases = map[string]hard{
+	"one way only":                          {calm: true, faults: []day.Fault{{At: p(10), For: p(50), Kind: day.OneWay, Who: []int{4}, Others: []int{7}}}},
+	"a third in the middle that both reach": {calm: true, faults: both(10, 50, []int{4}, []int{7})},
+	"halves":                                {faults: shift(10, 50, day.Split, span(0, 6))},
+	"ninety to ten":                         {faults: shift(10, 50, day.Split, []int{11})},
+	"three ways":                            {faults: []day.Fault{{At: p(10), For: p(50), Kind: day.Split, Who: span(4, 8)}, {At: p(10), For: p(50), Kind: day.Split, Who: span(8, 12)}}},
+	"a cut that moves every second":         {faults: shift(10, 5, day.Split, span(0, 6), span(3, 9), span(6, 12), []int{0, 2, 4, 6, 8, 10}, span(0, 4), span(8, 12))},
+	"half open connections": {faults: []day.Fault{{At: p(10), For: p(40), Kind: day.Mute, Who: span(3, 8), Others: []int{0, 1}},
+		{At: p(20), For: p(20), Kind: day.Mute, Who: []int{2}, Others: span(3, 12)}}},
+	"stands still for five seconds": {faults: append(shift(10, 25, day.Stop, []int{5}), day.Fault{At: p(20), For: p(2), Kind: day.Cold, Part: 0.9})},
+	"a rolling restart":             {faults: shift(10, 12, day.Leave, []int{3, 4}, []int{5, 6}, []int{7, 8}, []int{9, 10}, []int{11}, []int{0}, []int{1}, []int{2})},
+	"two of one name":               {faults: shift(10, 50, day.Twin, []int{6})},
+	"a seed that is dead at the start": {absent: []int{0, 1}, faults: []day.Fault{{At: 0, For: p(40), Kind: day.Kill, Who: []int{0}},
+		{At: 0, For: p(60), Kind: day.Kill, Who: []int{1}}}},
+	"a fifth of all datagrams lost": {calm: true, faults: []day.Fault{{At: p(10), For: p(100), Kind: day.Loss, Part: 0.2}}},
+	"old datagrams": {faults: append(shift(15, 20, day.Kill, []int{4}, []int{5}, []int{6}), day.Fault{At: p(10), For: p(90), Kind: day.Old, Part: 0.5},
+		day.Fault{At: p(12), Kind: day.Kill, Who: []int{9}})},
+	"a starved core": {calm: true, faults: []day.Fault{{At: p(10), For: p(60), Kind: day.Slow, Who: []int{6}, Part: 0.1}}},
+	"garbage": {faults: []day.Fault{{At: p(10), For: p(50), Kind: day.Garbage, Who: span(0, 12), Part: 100}},
+		also: func(t *testing.T, r *fleet.Rig, _ *fleet.Verdict) {
+			for n := range 12 {
+				f, err := r.Ask(n)
+				if err != nil || f.Tally.Spoilt < 200 || f.Tally.Strange < 20 {
+					t.Errorf("instance %d: %v %+v", n, err, f)
+				}
+			}
+		}},
+	"a planner restarts during a hot group": {faults: append(shift(12, 10, day.Kill, []int{0}, []int{1}, []int{0}, []int{2}),
+		day.Fault{At: p(8), For: p(3), Kind: day.Cold, Part: 0.3}, day.Fault{At: p(30), For: p(3), Kind: day.Cold, Part: 0.7})},
+	"planners disagree about a drain": {faults: slices.Concat(both(10, 40, []int{0}, []int{1, 2}), both(10, 40, span(3, 6), []int{1, 2}), both(10, 40, span(6, 12), []int{0}),
+		[]day.Fault{{At: p(15), For: p(65), Kind: day.Drain, Who: []int{3, 4}, Part: thirdReplica}}), also: drainsBy(60)},
+	"a planner stands still past its leases": {faults: append(shift(12, 25, day.Stop, []int{0, 1}), day.Fault{At: p(8), For: p(3), Kind: day.Cold, Part: 0.3},
+		day.Fault{At: p(24), For: p(3), Kind: day.Cold, Part: 0.7})},
+	"lists far apart": {faults: []day.Fault{{At: p(15), For: p(90), Kind: day.Drain, Who: []int{3}, Part: thirdReplica}}, also: drainsBy(25)},
+	"half reach one planner, half the other": {faults: slices.Concat(both(10, 50, span(3, 8), []int{0, 2}), both(10, 50, span(8, 12), []int{1, 2}),
+		[]day.Fault{{At: p(20), For: p(3), Kind: day.Cold, Part: 0.3}})},
+	"all planners gone, then back at once": {faults: []day.Fault{{At: p(10), For: p(60), Kind: day.Kill, Who: []int{0, 1, 2}}, {At: p(25), For: p(3), Kind: day.Cold, Part: 0.3}}},
+	"a split while a node is cold and one drains": {faults: append(shift(10, 40, day.Split, span(2, 8)), day.Fault{At: p(12), For: p(3), Kind: day.Cold, Part: 0.9},
+		day.Fault{At: p(20), For: p(40), Kind: day.Drain, Who: []int{3, 9}, Part: thirdReplica})},
+	"thirty killed at the same moment": {routers: 42, light: true, faults: shift(10, 40, day.Kill, span(12, 42))},
+}
+
+// Each hard case by itself, among processes with faults between them: every rule is kept, every promise of the membership, and all
+// agree in the end.
+func TestHardCases(t *testing.T) {
+	turns := make(chan struct{}, 8)
+	for name, c := range hardCases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			turns <- struct{}{}
+			defer func() { <-turns }()
+			r := c.start(t)
+			d := &day.Day{Seed: 1, Period: hardPeriod, Faults: c.faults}
+			d.Sort()
+			v := r.Play(d, 200)
+			t.Log(v)
+			if len(v.Found) > 0 || c.calm && v.WrongFor > 0 || v.Jobs < 15*r.Routers {
+				t.Errorf("too few jobs, or live ones called failed, or worse")
+			}
+			if c.also != nil {
+				c.also(t, r, v)
+			}
+		})
+	}
+}
+
+func (c *hard) start(t *testing.T) *fleet.Rig {
+	nodes := []*standin.Node{standin.NewNode(t, "source")}
+	for range 5 {
+		nodes = append(nodes, standin.NewNode(t, "copy"))
+	}
+	for _, n := range nodes {
+		n.Strict = true
+		n.Troubled(2 * time.Millisecond)
+	}
+	if c.routers == 0 {
+		c.routers = 9
+	}
+	every := 50 * time.Millisecond
+	if c.light {
+		every = 300 * time.Millisecond
+	}
+	return fleet.New(t, fleet.Plan{Program: os.Args[0], Env: []string{asRouter + "=1"}, Planners: 3, Routers: c.routers, Plain: 1, Nodes: nodes, Contract: tierContract,
+		Period: hardPeriod, Term: 4 * hardPeriod, Clients: 1, Every: every, Folder: t.TempDir(), Seed: 1, Absent: c.absent})
+}
+
+// A flood of names that nobody has takes bounded memory, and clients are served all the while.
+func TestMadeUpNames(t *testing.T) {
+	t.Parallel()
+	r := (&hard{routers: 3}).start(t)
+	standin.Until(t, "one view", r.Agree)
+	before := r.Memory(3)
+	r.Flood(3, 60000, 2*time.Second)
+	after := r.Memory(3)
+	r.Flood(3, 60000, 2*time.Second)
+	f, err := r.Ask(3)
+	if err != nil || len(f.All)+f.Beyond < 1000 || f.Beyond == 0 { // what operators are told has its bounds as well
+		t.Fatalf("%v: too little was told", err)
+	}
+	if last := r.Memory(3); last > after+8 || last > before+40 {
+		t.Errorf("%.1f MB before, %.1f after half of the names, %.1f after all", before, after, last)
+	}
+	t.Logf("%.1f, %.1f, %.1f MB; %d names believed", before, after, r.Memory(3), len(f.All)+f.Beyond)
+}
--- a/cmd/sedgestream/main.go
+++ b/cmd/sedgestream/main.go
@@ -36,6 +36,7 @@
 	} `cmd:"" help:"The fleet: who is there, and who differs from whom."`
 	Check      check      `cmd:"" help:"Read the platform's file as a router would, and tell all that is wrong with it."`
 	Terms      termsWords `cmd:"" help:"Terms of routes: time-outs, trips, second copies, budgets."`
+	labLine    `embed:""`
 	Completion completion `cmd:"" help:"Print a completion script for a shell."`
 }
 
--- /dev/null
+++ b/cmd/sedgestream/nolab.go
@@ -0,0 +1,6 @@
+//go:build nolab
+
+package main
+
+// labLine has nothing here.
+type labLine struct{}
--- a/internal/advise/advise.go
+++ b/internal/advise/advise.go
@@ -35,8 +35,8 @@
 	return e.Encode(v)
 }
 
-// faults tells what is wrong, if anything.
-func (d *Desk) faults(err error) error {
+// Faults tells what is wrong, if anything.
+func (d *Desk) Faults(err error) error {
 	var fs paper.Faults
 	if !errors.As(err, &fs) {
 		return err
@@ -62,7 +62,7 @@
 		fmt.Fprintf(d.Err, "%s (warning)\n", f)
 	}
 	if len(faults) > 0 {
-		return d.faults(faults)
+		return d.Faults(faults)
 	}
 	if !d.JSON {
 		fmt.Fprintf(d.Out, "%s: a router would start by it; %d members are read by nothing\n", path, len(unread))
@@ -105,7 +105,7 @@
 		}
 	}
 	if err != nil {
-		return d.faults(err)
+		return d.Faults(err)
 	}
 	if !d.JSON {
 		fmt.Fprintf(d.Out, "%s: %d routes keep to the contract and the rules\n", path, b.Len())
@@ -130,7 +130,7 @@
 	}
 	b, err := termsfile.Load(path, g)
 	if err != nil {
-		return d.faults(err)
+		return d.Faults(err)
 	}
 	j := terms.Job{Tariff: -1, Group: a.Group, Key: a.Key, Session: a.Session, Again: a.Again}
 	for i, name := range g.Tariffs {
@@ -178,7 +178,7 @@
 	var books [2]*terms.Book
 	for i, path := range []string{before, after} {
 		if books[i], err = termsfile.Load(path, g); err != nil {
-			return d.faults(err)
+			return d.Faults(err)
 		}
 	}
 	changes := terms.Diff(books[0], books[1])
--- a/internal/advise/fleet.go
+++ b/internal/advise/fleet.go
@@ -52,7 +52,7 @@
 	if path != "" {
 		tier, err := tierfile.Load(path)
 		if err != nil {
-			return nil, d.faults(err)
+			return nil, d.Faults(err)
 		}
 		for _, a := range tier.Seeds {
 			todo[a] = ""
--- a/internal/advise/plan.go
+++ b/internal/advise/plan.go
@@ -19,7 +19,7 @@
 func (d *Desk) ShowPlanners(path, name string) error {
 	tier, err := tierfile.Load(path)
 	if err != nil {
-		return d.faults(err)
+		return d.Faults(err)
 	}
 	var views []*words.Show
 	missing := 0
--- a/internal/lab/fleet/cost.go
+++ b/internal/lab/fleet/cost.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"sedgestream/internal/lab/day"
 	"sedgestream/internal/words"
 )
 
@@ -94,3 +95,31 @@
 
 // Ask has an instance tell how it sees the fleet.
 func (r *Rig) Ask(n int) (*words.Fleet, error) { return r.Fleet(r.procs[n]) }
+
+// Memory is what an instance holds resident, in MB.
+func (r *Rig) Memory(n int) float64 { return residentOf(r.procs[n].cmd.Process.Pid) }
+
+// Last is when the last job of any of these routers came to a node; the zero time if none did.
+func (r *Rig) Last(node int, routers func(number int) bool) (at time.Time) {
+	names := map[string]bool{}
+	for _, c := range r.procs {
+		names[c.name] = routers(c.number)
+	}
+	for _, ran := range r.Nodes[node].Ledger() {
+		if j := r.jobs.of[ran.ID]; j != nil && names[j.router] && ran.At.After(at) {
+			at = ran.At
+		}
+	}
+	return at
+}
+
+// Begun is when the day began.
+func (r *Rig) Begun() time.Time { return r.dayBegun }
+
+// Flood sends an instance so many made-up names a second, for so long.
+func (r *Rig) Flood(n int, names float64, span time.Duration) {
+	f := &day.Fault{Kind: day.Names, Who: []int{n}, Part: names, For: span}
+	r.turn(-1, f, true)
+	time.Sleep(span)
+	r.turn(-1, f, false)
+}
--- a/internal/lab/fleet/flood.go
+++ b/internal/lab/fleet/flood.go
@@ -95,5 +95,5 @@
 	return text
 }
 
-// fleetName keeps rigs on one machine apart.
-func (r *Rig) fleetName() string { return fmt.Sprintf("rig %d", os.Getpid()) }
+// fleetName keeps rigs on one machine, and in one process, apart.
+func (r *Rig) fleetName() string { return fmt.Sprintf("rig %d.%d", os.Getpid(), r.serial) }
--- a/internal/lab/fleet/judge.go
+++ b/internal/lab/fleet/judge.go
@@ -84,9 +84,10 @@
 	t := count{at: p.at}
 	t.done, t.bounced, t.other, t.open = r.served()
 	r.tally = append(r.tally, t)
-	if r.Progress != nil {
+	if r.Progress != nil && p.at.Sub(r.told) >= time.Second {
 		r.say("%s", p.tell())
-		r.say("%s", r.tellClients())
+		r.say("%s", r.tellClients(r.told))
+		r.told = p.at
 	}
 }
 
@@ -324,16 +325,18 @@
 
 // String tells it in a line, and what was found in more.
 func (v *Verdict) String() string {
-	s := fmt.Sprintf("agreed after %.1f periods, deaths known within %.1f, live ones called failed for %.1f at most, %d jobs answered (%d bounced), "+
-		"%d excused, %d drains, %.0f bytes in %.1f words an instance and second", v.Agreed, v.Known, v.WrongFor, v.Jobs, v.Bounced, v.Excused, v.Drains, v.Bytes, v.Words)
+	s := v.head()
 	for _, f := range v.Found {
 		s += "\n  " + f
 	}
 	return s
 }
 
-// Keep tells whether there is any reason to keep the folder.
-func (v *Verdict) Keep() bool { return len(v.Found) > 0 }
+func (v *Verdict) head() string {
+	return fmt.Sprintf("agreed after %.1f periods, deaths known within %.1f, live ones called failed for %.1f at most, %d jobs answered (%d bounced), "+
+		"%d excused, %d drains, young nodes got %.2f of their limit at most, %.0f bytes in %.1f words an instance and second",
+		v.Agreed, v.Known, v.WrongFor, v.Jobs, v.Bounced, v.Excused, v.Drains, v.Cold, v.Bytes, v.Words)
+}
 
 // lines reads a log line by line, however long they are.
 type lines struct{ *bufio.Reader }
--- a/internal/lab/fleet/play.go
+++ b/internal/lab/fleet/play.go
@@ -272,7 +272,7 @@
 			entries += ","
 		}
 		state := "up"
-		if r.told(n) { // a start does not undo a drain
+		if r.drains(n) { // a start does not undo a drain
 			state = "draining"
 		}
 		entries += r.Nodes[n].Entry(n, state)
@@ -288,8 +288,8 @@
 	}
 }
 
-// told tells whether any list says that a node drains.
-func (r *Rig) told(n int) bool {
+// drains tells whether any list says that a node drains.
+func (r *Rig) drains(n int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.drained[n] != nil
--- a/internal/lab/fleet/rig.go
+++ b/internal/lab/fleet/rig.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -42,6 +43,7 @@
 	ClientsOf func(n int) int
 	Progress  func(line string) // is told what happens; nil: nobody is
 	Together  bool              // all start at the same moment, not some at a time
+	Absent    []int             // are not started before a fault of theirs is over
 }
 
 // Rig is the fleet that runs.
@@ -50,6 +52,7 @@
 	Net *link.Network
 
 	t        standin.Test
+	serial   int64
 	begun    time.Time
 	mu       sync.Mutex
 	procs    []*proc  // by number; then twins
@@ -67,6 +70,7 @@
 	dayBegun time.Time
 	marks    []mark // of the day, for reports
 	tally    []count
+	told     time.Time // when progress was said last
 }
 
 // mark is the beginning or the end of a fault.
@@ -125,9 +129,12 @@
 	return int(a[2])*200 + int(a[3]) - 1
 }
 
+// rigs counts those of this process.
+var rigs atomic.Int64
+
 // New starts all processes and the load.
 func New(t standin.Test, p Plan) *Rig {
-	r := &Rig{Plan: p, Net: link.New(p.Seed, who), t: t, stop: make(chan struct{}), on: map[int]*day.Fault{}, drained: map[int]map[string]time.Time{}, version: 7}
+	r := &Rig{Plan: p, serial: rigs.Add(1), Net: link.New(p.Seed, who), t: t, stop: make(chan struct{}), on: map[int]*day.Fault{}, drained: map[int]map[string]time.Time{}, version: 7}
 	t.Cleanup(r.close)
 	for n := range p.Planners {
 		l, err := net.Listen("tcp", ip(n).String()+":0")
@@ -141,7 +148,11 @@
 	r.begun = time.Now()
 	var all sync.WaitGroup
 	turns := make(chan struct{}, map[bool]int{false: 16, true: len(r.procs)}[p.Together])
-	for _, c := range r.procs {
+	for n, c := range r.procs {
+		if slices.Contains(p.Absent, n) {
+			c.since = time.Now()
+			continue
+		}
 		all.Add(1)
 		turns <- struct{}{}
 		go func() {
@@ -150,8 +161,8 @@
 		}()
 	}
 	all.Wait()
-	for _, c := range r.procs {
-		if c.cmd == nil {
+	for n, c := range r.procs {
+		if c.cmd == nil && !slices.Contains(p.Absent, n) {
 			t.Fatal(strings.Join(r.found, "\n"))
 		}
 	}
--- a/internal/lab/fleet/show.go
+++ b/internal/lab/fleet/show.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"sedgestream/internal/decide/members"
 )
@@ -46,12 +47,13 @@
 	return s
 }
 
-// tellClients is what clients got since the poll before.
-func (r *Rig) tellClients() string {
-	k := len(r.tally) - 1
-	now, was := r.tally[k], count{at: r.begun}
-	if k > 0 {
-		was = r.tally[k-1]
+// tellClients is what clients got since a moment.
+func (r *Rig) tellClients(since time.Time) string {
+	now, was := r.tally[len(r.tally)-1], count{at: r.begun}
+	for _, t := range r.tally {
+		if !t.at.After(since) {
+			was = t
+		}
 	}
 	secs := now.at.Sub(was.at).Seconds()
 	rate := func(a, b int) float64 { return float64(a-b) / secs }
--- /dev/null
+++ b/internal/lab/fleet/stage.go
@@ -0,0 +1,131 @@
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"sedgestream/internal/lab/bench"
+	"sedgestream/internal/lab/day"
+	"sedgestream/internal/standin"
+)
+
+// Stage is where a day is played for people.
+type Stage struct {
+	Program string    // the program whose processes are started
+	Out     io.Writer // progress and the verdict
+	Folder  string    // of logs, the day as it was played, and the report; "" for one that is removed after a sound day
+	Report  string    // where the report goes; "" for report.html in the folder
+}
+
+// ErrFound is that of a day on which rules or promises were broken.
+var ErrFound = errors.New("the day has broken rules or promises")
+
+// Times of a stage.
+const (
+	grace       = 200 // periods after the last fault in which all have to agree
+	termPeriods = 4   // periods of probes in a lease's term
+)
+
+// Nodes are the stand-ins that a day asks for: of each group a primary and replicas, as real ones turn writes away.
+func Nodes(t standin.Test, f *day.Fleet) (nodes []*standin.Node) {
+	for g := range f.Groups {
+		for k := range f.Nodes {
+			role := "copy"
+			if k == 0 {
+				role = "source"
+			}
+			n := standin.NewNode(t, role)
+			n.Group, n.Strict = 2+g, true
+			n.Work(&standin.Works{Cores: f.Cores, Mean: f.Work, Said: true})
+			nodes = append(nodes, n)
+		}
+	}
+	return nodes
+}
+
+// Play plays a day from the file's text and tells what it came to.
+func (s *Stage) Play(d *day.Day) (err error) {
+	b := &bench.Bench{}
+	defer b.End()
+	folder := s.Folder
+	if folder == "" {
+		if folder, err = os.MkdirTemp("", "sedgestream-day-"); err != nil {
+			return err
+		}
+	} else if err = os.MkdirAll(folder, 0o755); err != nil {
+		return err
+	}
+	contract := standin.Brisk
+	if d.Fleet.Contract != "" {
+		text, err := os.ReadFile(d.Fleet.Contract)
+		if err != nil {
+			return err
+		}
+		contract = string(text)
+	}
+	// Whoever breaks off leaves no process behind.
+	stops := make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGINT, syscall.SIGTERM)
+	defer signal.Stop(stops)
+	go func() {
+		if _, told := <-stops; told {
+			fmt.Fprintln(s.Out, "broken off; logs are in", folder)
+			b.End()
+			os.Exit(1)
+		}
+	}()
+	defer close(stops)
+	f := &d.Fleet
+	fmt.Fprintf(s.Out, "starting %d planners and %d routers among %d groups of %d nodes; logs go to %s\n", f.Planners, f.Routers, f.Groups, f.Nodes, folder)
+	r := New(b, Plan{Program: s.Program, Planners: f.Planners, Routers: f.Routers, Plain: f.Plain, Nodes: Nodes(b, f), Contract: contract,
+		Period: d.Period, Term: termPeriods * d.Period, Clients: f.Clients, Every: f.Pause, Folder: folder, Seed: d.Seed,
+		Progress: func(line string) { fmt.Fprintln(s.Out, line) }})
+	v := r.Play(d, grace)
+	report := s.Report
+	if report == "" {
+		report = filepath.Join(folder, "report.html")
+	}
+	if err := r.Write(report, v); err != nil {
+		return err
+	}
+	fmt.Fprintf(s.Out, "\n%v\n", v)
+	if len(v.Found) > 0 {
+		fmt.Fprintf(s.Out, "the day, each process's log and the report are in %s\n", folder)
+		return ErrFound
+	}
+	if s.Folder == "" && s.Report == "" {
+		// The report alone is kept.
+		kept, err := os.CreateTemp("", "sedgestream-report-*.html")
+		if err != nil {
+			return err
+		}
+		text, _ := os.ReadFile(report)
+		kept.Write(text)
+		kept.Close()
+		report = kept.Name()
+	}
+	fmt.Fprintf(s.Out, "the report: %s\n", report)
+	if s.Folder == "" {
+		os.RemoveAll(folder)
+	}
+	return nil
+}
+
+// Demo is a day of some twenty seconds for newcomers: one router is killed and comes back, a node starts cold, one router is cut off.
+func Demo() *day.Day {
+	f := day.Usual()
+	f.Routers, f.Plain, f.Groups, f.Nodes, f.Clients, f.Pause = 6, 1, 2, 3, 4, 20*time.Millisecond
+	d := &day.Day{Seed: 1, Period: 200 * time.Millisecond, Instances: f.Planners + f.Routers, Fleet: f, Faults: []day.Fault{
+		{At: 3 * time.Second, For: 5 * time.Second, Kind: day.Kill, Who: []int{4}},
+		{At: 5 * time.Second, For: time.Second, Kind: day.Cold, Who: []int{4}},
+		{At: 9 * time.Second, For: 4 * time.Second, Kind: day.Split, Who: []int{7}},
+	}}
+	d.Span = d.Last()
+	return d
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -205,7 +205,12 @@
 	now := s.now()
 	f := &words.Fleet{Self: s.members.Self(), View: s.members.View(), Holds: s.members.Holds(now), All: s.members.All(now),
 		Strain: s.members.Strain(), Tally: s.tally, Uptime: int64(time.Since(s.start))}
-	f.View.Members = s.view.Members
+	if f.View.Members = s.view.Members; len(f.View.Members) > words.FleetRecords {
+		f.View.Members = f.View.Members[:words.FleetRecords]
+	}
+	if f.Beyond = max(0, len(f.All)-words.FleetRecords); f.Beyond > 0 {
+		f.All = f.All[:words.FleetRecords]
+	}
 	if o, stands := s.members.Other(); stands {
 		o.Since, o.Last = now-o.Since, now-o.Last
 		f.Other = &o
--- a/internal/words/member.go
+++ b/internal/words/member.go
@@ -46,6 +46,9 @@
 	return errors.Join(errs...)
 }
 
+// FleetRecords bounds the members that an instance tells an operator of.
+const FleetRecords = 4096
+
 // Fleet is an instance's view, for operators; empty it asks for it. Times are ages in nanoseconds.
 type Fleet struct {
 	Self   members.Record  `msgpack:"s" json:"self"`
@@ -54,9 +57,11 @@
 	All    []members.Known `msgpack:"a" json:"all"`
 	Strain int             `msgpack:"w" json:"strain"` // own health; 0 is well
 	// Other is a view of the same number with other members, which this one has heard of.
-	Other  *members.Contradiction `msgpack:"o,omitempty" json:"other,omitempty"`
-	Tally  Tally                  `msgpack:"t" json:"tally"`
-	Uptime int64                  `msgpack:"u" json:"uptime"`
+	Other *members.Contradiction `msgpack:"o,omitempty" json:"other,omitempty"`
+	Tally Tally                  `msgpack:"t" json:"tally"`
+	// Beyond is how many members are known beside those told, as a frame has its bounds.
+	Beyond int   `msgpack:"b,omitempty" json:"beyond,omitempty"`
+	Uptime int64 `msgpack:"u" json:"uptime"`
 }
 
 // Tally counts what an instance has said and heard for its membership since its start.
