Fleets that start at once tell each other a part of it; rumors wait in lanes

Cause: at a start each told each of each, some 24 times: a simulated start of 1,000 took minutes, and at 3,000 rumors would have stood in line for hundreds of periods. The queue compared names in a heap, half of all time. Change: what a newcomer learns in its first exchanges is no news; news that others tell counts as told; the queue has a lane for each number of tellings, each step of a fixed time. Ruled out: exchanges (a twentieth of the time at 1,000).

--- a/internal/decide/members/exchange.go
+++ b/internal/decide/members/exchange.go
@@ -51,12 +51,16 @@
 	return rs
 }
 
-// Merge takes in a piece from another.
+// Merge takes in a piece from another. One that has just started learns in it what all others know already, so it tells nobody on
+// but what the other says of itself: else a fleet that starts at once has each told of each by each, for minutes.
 func (m *Members) Merge(now int64, from string, rs []Record) {
 	m.awake(now)
+	young := now-m.born < calm*m.pace.Period
 	for _, r := range rs {
+		m.hush = young && r.Name != from
 		m.told(now, r, from)
 	}
+	m.hush = false
 	if m.joined == 0 && len(rs) > 0 && from != m.self.Name {
 		m.joined = now
 	}
--- a/internal/decide/members/explore_test.go
+++ b/internal/decide/members/explore_test.go
@@ -86,7 +86,10 @@
 	for name, p := range m.of {
 		c.of[name] = copied(p)
 	}
-	c.ring, c.lost, c.suspects, c.rumors = all(m.ring), all(m.lost), all(m.suspects), queue(all(m.rumors))
+	c.ring, c.lost, c.suspects = all(m.ring), all(m.lost), all(m.suspects)
+	for i := range m.rumors.lane {
+		c.rumors.lane[i] = all(m.rumors.lane[i])
+	}
 	c.probe.target = copied(m.probe.target)
 	c.relays, c.rivals, c.whole = slices.Clone(m.relays), slices.Clone(m.rivals), slices.Clone(m.whole)
 	c.out = &xDesk{}
@@ -131,7 +134,7 @@
 		num(int64(m.strain), int64(m.next), int64(len(m.ring)), int64(len(m.lost)), int64(m.number), int64(m.high), int64(m.mine.sent), int64(m.mine.queued))
 		for _, p := range slices.Concat(m.ring, m.lost) {
 			record(&p.Record)
-			num(int64(p.sent), int64(p.queued), int64(len(p.by)))
+			num(int64(p.sent), int64(p.queued), int64(p.lane), int64(len(p.by)))
 			if p.Health == Suspect {
 				rel(p.ends)
 			}
--- a/internal/decide/members/members.go
+++ b/internal/decide/members/members.go
@@ -136,7 +136,8 @@
 	by          []string // of its suspicion: independent accusers
 	begun, ends int64
 
-	queued int // its place in the queue of rumors; -1: none
+	lane   int // in the queue of rumors,
+	queued int // and its place there; -1: none
 	sent   int
 }
 
@@ -157,6 +158,7 @@
 	lost     []*peer // failed and left
 	suspects []*peer
 	rumors   queue
+	hush     bool // what is taken in now is no news to others
 
 	sum     uint64 // over live records
 	buckets [Buckets]uint64
@@ -274,6 +276,8 @@
 	switch {
 	case r.newer(&p.Record):
 		m.believe(now, p, r, via)
+	case r == p.Record:
+		m.heardOf(p)
 	case r.Health == Suspect && p.Health == Suspect && r.Incarnation == p.Incarnation && r.Life == p.Life:
 		m.confirm(now, p, r.By)
 	}
--- a/internal/decide/members/members_test.go
+++ b/internal/decide/members/members_test.go
@@ -1,6 +1,7 @@
 package members
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -350,7 +351,7 @@
 					} else {
 						lost++
 					}
-					if list[p.slot] != p || (p.queued >= 0 && m.rumors[p.queued] != p) || (p.Health == Suspect) != slices.Contains(m.suspects, p) {
+					if list[p.slot] != p || (p.queued >= 0 && m.rumors.lane[p.lane][p.queued] != p) || (p.Health == Suspect) != slices.Contains(m.suspects, p) {
 						t.Fatalf("%+v is out of place", p)
 					}
 					// Belief goes only forward, as long as one is remembered.
@@ -455,3 +456,45 @@
 		t.Errorf("%d may send, %+v", n.Senders(), n.lost)
 	}
 }
+
+// Guards against fleets that start at once and have each told of each by each for minutes: what a newcomer learns in its first
+// exchange is no news, but what the other says of itself is. Later on all is that an exchange brings.
+func TestNewcomerTellsNobodyOn(t *testing.T) {
+	m, _, now := among(6)
+	old := func(n int) (rs []Record) {
+		for k := range n {
+			rs = append(rs, rec(fmt.Sprint("x", k), 7, 1, Alive))
+		}
+		return rs
+	}
+	m.Merge(now, "x0", old(100))
+	if m.Live() != 101 || m.rumors.n != 1 {
+		t.Errorf("%d live, %d to be told", m.Live(), m.rumors.n)
+	}
+	m.Merge(now+calm*pace.Period+1, "x0", old(200))
+	if m.Live() != 201 || m.rumors.n != 102 { // itself among them, as it was away
+		t.Errorf("%d live, %d to be told", m.Live(), m.rumors.n)
+	}
+}
+
+// News that others tell counts as told: each tells it the less often the more it hears it.
+func TestHeardCountsAsTold(t *testing.T) {
+	m, _, now := among(7, "a", "b", "c")
+	news := rec("new", 9, 1, Alive)
+	say := func() { m.Heard(now, &Word{Kind: News, From: rec("a", 100, 3, Alive), Rumors: []Record{news}}) }
+	say()
+	p := m.of["new"]
+	if p == nil || p.queued < 0 || p.sent != 0 {
+		t.Fatalf("%+v", p)
+	}
+	for range timesTold * m.log2() {
+		say()
+	}
+	if p.queued >= 0 {
+		t.Errorf("heard %d times, it is still to be told", p.sent)
+	}
+	news.Incarnation++ // anything newer is told anew
+	if say(); p.queued < 0 || p.sent != 0 {
+		t.Errorf("%+v", p)
+	}
+}
--- a/internal/decide/members/probe.go
+++ b/internal/decide/members/probe.go
@@ -63,13 +63,13 @@
 // due is when anything is.
 func (m *Members) due() int64 {
 	if m.left { // nothing but its own leaving is left to tell
-		if len(m.rumors) > 0 {
+		if m.rumors.n > 0 {
 			return m.gossip
 		}
 		return math.MaxInt64
 	}
 	at := min(m.round, m.mend, m.sync, m.sweep, m.settles())
-	if len(m.rumors) > 0 {
+	if m.rumors.n > 0 {
 		at = min(at, m.gossip)
 	}
 	if p := &m.probe; p.target != nil && !p.acked {
@@ -302,7 +302,7 @@
 // tell sends news to some others, while there is any.
 func (m *Members) tell(now int64) {
 	m.gossip = now + m.pace.Period/gossipsIn
-	if len(m.rumors) == 0 {
+	if m.rumors.n == 0 {
 		return
 	}
 	for _, p := range m.some(gossipTo, nil) {
--- a/internal/decide/members/rumor.go
+++ b/internal/decide/members/rumor.go
@@ -1,10 +1,5 @@
 package members
 
-import (
-	"cmp"
-	"container/heap"
-)
-
 // Words is what a datagram is for.
 type Words uint8
 
@@ -33,41 +28,82 @@
 // head bounds what a word takes beside its records.
 const head = 56
 
-// queue has the members of whom there is news, those told least often first; of these the urgent, then the newest.
-type queue []*peer
+// Lanes of the queue: one for each number of tellings, urgent news apart from others.
+const (
+	mostTold = 32 // a bound of timesTold * log2 of the most members
+	lanes    = 2 * mostTold
+)
 
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	a, b := q[i], q[j]
-	return cmp.Or(cmp.Compare(a.sent, b.sent), -cmp.Compare(a.Health, b.Health), -cmp.Compare(a.since, b.since), cmp.Compare(a.Name, b.Name)) < 0
+// queue has the members of whom there is news, those told least often first; of these the urgent, then the newest. Each step takes
+// a fixed time however many there are: when hundreds start together, thousands stand here at each.
+type queue struct {
+	lane [lanes][]*peer
+	n    int
+	from int // no lane before this one has any
 }
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i]; q[i].queued, q[j].queued = i, j }
 
-// Push and Pop are container/heap's.
-func (q *queue) Push(x any) { p := x.(*peer); p.queued = len(*q); *q = append(*q, p) }
+func laneOf(p *peer) int {
+	if p.Health > Alive {
+		return 2 * min(p.sent, mostTold-1)
+	}
+	return 2*min(p.sent, mostTold-1) + 1
+}
 
-// Pop gives the last of them.
-func (q *queue) Pop() any {
-	last := len(*q) - 1
-	p := (*q)[last]
-	(*q)[last] = nil
-	*q, p.queued = (*q)[:last], -1
-	return p
+// push puts one in that is in no lane.
+func (q *queue) push(p *peer) {
+	p.lane = laneOf(p)
+	p.queued = len(q.lane[p.lane])
+	q.lane[p.lane] = append(q.lane[p.lane], p)
+	q.n++
+	q.from = min(q.from, p.lane)
 }
 
+// drop takes one out, if it is in.
 func (q *queue) drop(p *peer) {
-	if p.queued >= 0 {
-		heap.Remove(q, p.queued)
+	if p.queued < 0 {
+		return
 	}
+	in := q.lane[p.lane]
+	last := in[len(in)-1]
+	in[p.queued], last.queued = last, p.queued
+	in[len(in)-1] = nil
+	q.lane[p.lane], p.queued = in[:len(in)-1], -1
+	q.n--
+}
+
+// first is the one to be told next; nil if there is none.
+func (q *queue) first() *peer {
+	if q.n == 0 {
+		q.from = lanes
+		return nil
+	}
+	for len(q.lane[q.from]) == 0 {
+		q.from++
+	}
+	in := q.lane[q.from]
+	return in[len(in)-1]
 }
 
 // spread has a member's news told from now on, some log n times.
 func (m *Members) spread(p *peer) {
-	if p.sent = 0; p.queued >= 0 {
-		heap.Fix(&m.rumors, p.queued)
+	if m.hush && p != m.mine {
+		return
+	}
+	m.rumors.drop(p)
+	p.sent = 0
+	m.rumors.push(p)
+}
+
+// heardOf counts news that another tells as told: it is known there, and each that hears it from others need tell it less often
+// itself (Demers et al. 1987, feedback and counters).
+func (m *Members) heardOf(p *peer) {
+	if p.queued < 0 {
 		return
 	}
-	heap.Push(&m.rumors, p)
+	m.rumors.drop(p)
+	if p.sent++; p.sent < timesTold*m.log2() {
+		m.rumors.push(p)
+	}
 }
 
 // send sends a word, with as many rumors as it has room for. Of one that is not well, first of all what is said of it: so that
@@ -92,23 +128,19 @@
 		add(whom.Record)
 	}
 	times, told := timesTold*m.log2(), make([]*peer, 0, 32)
-	for len(m.rumors) > 0 {
-		p := m.rumors[0]
-		if p == whom && p.Health != Alive { // told already
-			if told = append(told, heap.Pop(&m.rumors).(*peer)); len(told) == MostRumors {
+	for p := m.rumors.first(); p != nil && len(told) < MostRumors; p = m.rumors.first() {
+		if p != whom || p.Health == Alive { // else it was told already
+			if !add(p.Record) {
 				break
 			}
-			continue
-		}
-		if !add(p.Record) {
-			break
+			p.sent++
 		}
-		p.sent++
-		told = append(told, heap.Pop(&m.rumors).(*peer))
+		m.rumors.drop(p)
+		told = append(told, p)
 	}
 	for _, p := range told {
 		if p.sent < times {
-			heap.Push(&m.rumors, p)
+			m.rumors.push(p)
 		}
 	}
 	m.out.Send(to, w)
