Planners add up what all routers have at nodes; a measure of even load, and its simulation

Cause: a router that sees a hundredth of the traffic knows nothing of what others send; only words between routers told it, and these are priced at each receiver. Change: internal/decide/share: each router's account of its trips by node, a planner's sum with ages, digests of at most 64 nodes, and which planner's word counts; loads in the tier's file. internal/lab/even: evenness from nodes' ledgers; internal/lab/evensim: routers in simulated time through the module or plain policies. Summed and Shows in the module's state; crowd takes the newer of both.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -293,8 +293,8 @@
 // what the node showed last, which fades. A node that shows too little is told by its strain.
 func (r *Router) crowd(m *node, now int64) float64 {
 	own := m.held + m.ghosts
-	if age := float64(now-m.shownAt) / float64(r.fade); r.sparse() && age < 1 {
-		return max(own, m.shown*(1-age))
+	if r.sparse() {
+		own = max(own, m.load(now, r.fade))
 	}
 	return own
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -81,6 +81,8 @@
 	room                        room
 	busy, shown                 float64 // cores, and trips held, by its last report
 	shownAt, answered           int64   // when it showed that, and when a probe of this router's last came back
+	all                         float64 // trips that all routers have there, as they were last summed up for this one
+	allAt                       int64   // and when that was so
 	mark                        uint32
 	work                        float64 // sent; decays over the span of the cold rule
 	workAt                      int64
@@ -277,6 +279,29 @@
 	r.backoff = r.leastBackoff
 }
 
+// Summed takes in what all routers together have at a node, as of a while ago, by whoever adds that up for them.
+func (r *Router) Summed(now int64, n int, held float64, age int64) {
+	if m := &r.nodes[n]; m.group >= 0 && now-age >= m.allAt {
+		m.all, m.allAt, r.toldAt = held, now-age, now
+	}
+}
+
+// Shows takes in a report of a node that another router was given.
+func (r *Router) Shows(now int64, n int, rep Report) {
+	if m := &r.nodes[n]; m.group >= 0 && rep.Position > m.position {
+		r.reported(m, now, rep)
+	}
+}
+
+// load is how many trips a node is known to hold, by the newest that others or itself have said, which fades.
+func (m *node) load(now, fade int64) float64 {
+	held, at := m.shown, m.shownAt
+	if m.allAt > at {
+		held, at = m.all, m.allAt
+	}
+	return held * max(0, 1-float64(now-at)/float64(fade))
+}
+
 // noted takes in evidence of a node's role and position, true at the time given: an old report never
 // outdoes a newer answer.
 func (m *node) noted(now int64, role Role, position, at int64) {
--- a/internal/decide/members/stance.go
+++ b/internal/decide/members/stance.go
@@ -89,6 +89,23 @@
 	return n
 }
 
+// Sending are those of a kind that may be alive and sending.
+func (m *Members) Sending(k Kind) (n int) {
+	of := func(r *Record) {
+		if r.Kind == k && r.Health != Left {
+			n++
+		}
+	}
+	of(&m.mine.Record)
+	for _, p := range m.ring {
+		of(&p.Record)
+	}
+	for _, p := range m.lost {
+		of(&p.Record)
+	}
+	return n
+}
+
 // few tells whether fewer than half of those that may be alive are in sight.
 func (m *Members) few() bool { return 2*m.Live() < m.Senders() }
 
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -15,6 +15,7 @@
 	"sedgestream/balance"
 	"sedgestream/internal/contract"
 	"sedgestream/internal/decide/plan"
+	"sedgestream/internal/decide/share"
 	"sedgestream/internal/decide/terms"
 )
 
@@ -96,6 +97,8 @@
 	zones   map[string]int
 	board   *plan.Board    // what planners and the list say of nodes; nil without planners
 	rows    map[string]Row // as the list has them, while there is a board
+	meter   *share.Meter   // of own trips, for those who add up what all routers have; nil if nobody does
+	marks   map[uint32]int // nodes by their marks, while there is a meter; below 0 of one that two share
 
 	// Orders that belong to no job. Each list is bounded: a node has at most one probe out.
 	probes, releases []int
@@ -108,6 +111,7 @@
 	task   Task
 	serial uint64
 	legs   int
+	nodes  []int // of its legs, while there is a meter
 	stay   terms.Stay
 	over   bool // the job has its final answer, or nobody waits for it
 	box    chan func()
@@ -236,7 +240,7 @@
 	if cap(box) < orders {
 		box = make(chan func(), orders)
 	}
-	d.seats[p] = seat{task: task, serial: d.serials, box: box, stay: terms.Stay{Wait: a.Wait}}
+	d.seats[p] = seat{task: task, serial: d.serials, box: box, stay: terms.Stay{Wait: a.Wait}, nodes: d.seats[p].nodes[:0]}
 	s := &d.seats[p]
 	if route != nil {
 		s.stay = route.Enter(now, a.Wait)
@@ -260,6 +264,10 @@
 	serve = e == balance.Done && !s.over
 	s.over = s.over || serve
 	s.stay.Ended(e, took)
+	if d.meter != nil {
+		d.metered(s.nodes[leg], rep)
+		d.meter.Ended(d.Now(), s.nodes[leg])
+	}
 	d.router.Ended(d.Now(), t.place, leg, e, s.over, took, note, rep)
 	return serve
 }
@@ -322,6 +330,7 @@
 			d.names[n] = ""
 			d.unused = append(d.unused, n)
 			d.nodes.Drop(n)
+			d.unmeter(n, name)
 			if d.board != nil {
 				d.board.Drop(name)
 				delete(d.rows, name)
@@ -357,6 +366,7 @@
 		n, d.names = len(d.names), append(d.names, id)
 	}
 	d.ids[id] = n
+	d.mark(id, n)
 	return n
 }
 
@@ -378,6 +388,9 @@
 func (d *Desk) Probed(node int, ok bool, rep balance.Report) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if ok && d.meter != nil {
+		d.metered(node, rep)
+	}
 	d.router.Probed(d.Now(), node, ok, rep)
 }
 
@@ -423,6 +436,10 @@
 // Submit implements balance.Outside.
 func (d *Desk) Submit(p balance.Place, node int, until int64) {
 	s := &d.seats[p]
+	if d.meter != nil {
+		s.nodes = append(s.nodes, node)
+		d.meter.Sent(d.Now(), node)
+	}
 	leg, send := s.legs, s.task.Send
 	if s.legs++; leg == 0 {
 		s.stay.Sent(d.Now())
--- /dev/null
+++ b/internal/desk/loads.go
@@ -0,0 +1,89 @@
+package desk
+
+import (
+	"hash/crc32"
+
+	"sedgestream/balance"
+	"sedgestream/internal/decide/share"
+)
+
+// Metered has the desk keep account of its trips for those who add up what all routers have. It is called before the first list.
+func (d *Desk) Metered() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.meter, d.marks = share.NewMeter(d.Now()), map[uint32]int{}
+}
+
+// Loads is the account since it was last asked for.
+func (d *Desk) Loads() []share.Part {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.meter == nil {
+		return nil
+	}
+	return d.meter.Read(d.Now(), func(n int) uint32 {
+		if n >= len(d.names) || d.names[n] == "" {
+			return 0
+		}
+		if mark := crc32.ChecksumIEEE([]byte(d.names[n])); d.marks[mark] == n {
+			return mark
+		}
+		return 0
+	})
+}
+
+// Summed takes in what all routers together have at nodes; believe says of each what counts, and how old it is.
+func (d *Desk) Summed(es []share.Entry, believe func(e *share.Entry) (held float64, age int64)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.meter == nil {
+		return
+	}
+	now := d.Now()
+	for i := range es {
+		e := &es[i]
+		n, known := d.marks[e.Mark]
+		if !known || n < 0 {
+			continue
+		}
+		held, age := believe(e)
+		d.router.Summed(now, n, held, age)
+		if s := e.Shown; s != nil {
+			rep := balance.Report{Given: true, Position: s.Position, Role: balance.Replica, Held: -1, Busy: float64(s.Busy)}
+			if s.Primary {
+				rep.Role = balance.Primary
+			}
+			d.router.Shows(now, n, rep)
+		}
+	}
+}
+
+// metered notes what a node has shown of itself, for others.
+func (d *Desk) metered(n int, rep balance.Report) {
+	if rep.Given && rep.Position > 0 && rep.Role != balance.Unknown {
+		d.meter.Shown(d.Now(), n, share.Shown{Position: rep.Position, Primary: rep.Role == balance.Primary, Busy: float32(max(0, rep.Busy))})
+	}
+}
+
+// mark has a node be found by its mark; one that two share names none of them.
+func (d *Desk) mark(id string, n int) {
+	if d.meter == nil {
+		return
+	}
+	mark := crc32.ChecksumIEEE([]byte(id))
+	if have, known := d.marks[mark]; known && have != n {
+		n = -1
+	}
+	d.marks[mark] = n
+}
+
+// unmeter lets go of a node whose number may name another.
+func (d *Desk) unmeter(n int, id string) {
+	if d.meter == nil {
+		return
+	}
+	d.meter.Forget(n)
+	if mark := crc32.ChecksumIEEE([]byte(id)); d.marks[mark] == n {
+		delete(d.marks, mark)
+	}
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -17,6 +17,7 @@
 
 	"sedgestream/internal/decide/members"
 	"sedgestream/internal/decide/plan"
+	"sedgestream/internal/decide/share"
 	"sedgestream/internal/desk"
 	"sedgestream/internal/words"
 )
@@ -29,6 +30,8 @@
 	Period   time.Duration     // of reports
 	// Holds is what this router may do by what it knows of the others; nil if it takes no part in the membership.
 	Holds func() members.Holds
+	// Loads has it tell planners of its trips, and go by what they add up.
+	Loads bool
 }
 
 // Links are a router's connections to planners.
@@ -44,6 +47,7 @@
 	mu      sync.Mutex
 	holders map[string]*plan.Holder // by node
 	links   map[string]*link        // that are up, by planner
+	views   *share.Views            // of what planners added up; nil if that is not wanted
 }
 
 // link is a connection to a planner.
@@ -52,14 +56,20 @@
 	live  []string // planners that it believes in
 	heard int64
 
-	said int64  // when it was last reported to
-	news uint64 // hash of what the report said but for asks
+	said   int64  // when it was last reported to
+	loaded bool   // of any trips
+	news   uint64 // hash of what the report said but for asks
 }
 
 // New has the desk heed planners. It is called before the desk's first list.
 func New(p Post, d *desk.Desk, log *zap.Logger) *Links {
 	d.Planned()
-	return &Links{post: p, desk: d, log: log, life: plan.Life(rand.Uint64() | 1), born: d.Now(), stop: make(chan struct{}),
+	var views *share.Views
+	if p.Loads {
+		d.Metered()
+		views = share.NewViews(int64(p.Period))
+	}
+	return &Links{views: views, post: p, desk: d, log: log, life: plan.Life(rand.Uint64() | 1), born: d.Now(), stop: make(chan struct{}),
 		holders: map[string]*plan.Holder{}, links: map[string]*link{}}
 }
 
@@ -176,6 +186,9 @@
 			s.lend(n.Node, h)
 		}
 	}
+	if s.views != nil && len(a.Digest) > 0 {
+		s.desk.Summed(a.Digest, func(e *share.Entry) (float64, int64) { return s.views.Heard(now, name, e) })
+	}
 	if s.post.Holds != nil && !s.post.Holds().Hints {
 		return
 	}
@@ -192,7 +205,7 @@
 
 // report says to each planner what there is to say, and asks each for the young nodes that it answers for.
 func (s *Links) report() {
-	young, sights, notices := s.desk.Young(), s.desk.Sights(int64(s.post.Term)), s.desk.Notices()
+	young, sights, notices, loads := s.desk.Young(), s.desk.Sights(int64(s.post.Term)), s.desk.Notices(), s.desk.Loads()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.desk.Now()
@@ -239,14 +252,17 @@
 		return
 	}
 	news := xxhash.Sum64(text)
+	if s.views != nil {
+		s.views.Forget(now)
+	}
 	failing := slices.ContainsFunc(r.Saw, func(v words.NodeSaw) bool { return v.Failed })
 	for name, l := range s.links {
-		if !plan.Due(now, l.said, int64(s.post.Term), l.news != news, len(asks[name]) > 0, failing) {
+		if !plan.Due(now, l.said, int64(s.post.Term), l.news != news || len(loads) > 0 || l.loaded, len(asks[name]) > 0, failing) {
 			continue
 		}
-		l.said, l.news = now, news
+		l.said, l.news, l.loaded = now, news, len(loads) > 0 // that there is no load any more is told once
 		mine := r
-		mine.Asks = asks[name]
+		mine.Asks, mine.Loads = asks[name], loads
 		s.tasks.Add(1)
 		go func() { // each is written within a period or its connection ends, so these don't pile up
 			defer s.tasks.Done()
--- /dev/null
+++ b/internal/lab/even/even.go
@@ -0,0 +1,288 @@
+// Package even measures how evenly load lies on nodes, from ledgers of what came to each and when it was answered: in simulated
+// time and among processes alike.
+package even
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+)
+
+// Visit is a job at a node. Times are ns of one clock.
+type Visit struct {
+	Came, Ended int64 // Ended 0: it never was
+	Router      int   // who sent it
+}
+
+// Node is one with its ledger.
+type Node struct {
+	Name     string
+	Group    int     // of nodes that may take each other's jobs
+	Capacity float64 // jobs that it works on at a time, as it truly is
+	From, To int64   // when it could serve; To 0: to the end
+	Visits   []Visit // by Came
+}
+
+// Windows are those over which is looked at load, ns.
+var Windows = []time.Duration{50 * time.Millisecond, 250 * time.Millisecond, 2 * time.Second}
+
+// Figures are of one length of windows. Load is jobs in hand against capacity; windows in which a group has hardly any are left out.
+type Figures struct {
+	Window   time.Duration
+	Peak     float64 // most loaded node's load over the mean, on average over windows
+	CV       float64 // coefficient of variation over a group's nodes, on average over windows
+	Expected float64 // the same if each job had chosen by chance alone: what is left of it is noise of small numbers
+	Jain     float64 // (sum x)^2 / (n sum x^2), 1 where all are the same
+}
+
+// Herd is a span in which a node has more than it can work on and over twice its fair part, while another of its group has under
+// half of its own.
+type Herd struct {
+	Node     string
+	From, To int64
+	Most     float64 // jobs in hand
+	Routers  int     // that had sent these
+}
+
+// Verdict is what was found.
+type Verdict struct {
+	Figures []Figures
+	Herds   []Herd
+	Herding float64 // time that any node was in a herd, as a part of all time
+	Longest time.Duration
+	Idle    float64 // time that a node had nothing while jobs waited at another of its group, as a part of all nodes' time
+	Wait    time.Duration
+	Jobs    int
+	// Of the time from a job's coming to a node until its answer: median, 99 %, longest.
+	Median, High, Most time.Duration
+}
+
+// least is the mean load of a group, against capacity, below which a window says nothing of evenness.
+const least = 0.05
+
+// Measure looks at a span.
+func Measure(nodes []Node, from, to int64) *Verdict {
+	v := &Verdict{}
+	groups := map[int][]int{}
+	for i := range nodes {
+		if nodes[i].To == 0 {
+			nodes[i].To = to
+		}
+		groups[nodes[i].Group] = append(groups[nodes[i].Group], i)
+	}
+	names := make([]int, 0, len(groups))
+	for g := range groups {
+		names = append(names, g)
+	}
+	slices.Sort(names)
+	for _, w := range Windows {
+		f := Figures{Window: w}
+		count := 0.0
+		for _, g := range names {
+			members := groups[g]
+			held := make([][]float64, len(members))
+			for k, n := range members {
+				held[k] = nodes[n].windows(from, to, int64(w))
+			}
+			for at := range held[0] {
+				begin := from + int64(at)*int64(w)
+				var xs []float64
+				sum, jobs := 0.0, 0.0
+				for k, n := range members {
+					if m := &nodes[n]; begin >= m.From && begin+int64(w) <= m.To {
+						xs = append(xs, held[k][at]/m.Capacity)
+						sum += held[k][at] / m.Capacity
+						jobs += held[k][at]
+					}
+				}
+				if len(xs) < 2 || sum/float64(len(xs)) < least {
+					continue
+				}
+				mean, squares := sum/float64(len(xs)), 0.0
+				for _, x := range xs {
+					squares += x * x
+				}
+				variance := max(0, squares/float64(len(xs))-mean*mean)
+				f.Peak += slices.Max(xs) / mean
+				f.CV += math.Sqrt(variance) / mean
+				f.Jain += sum * sum / (float64(len(xs)) * squares)
+				f.Expected += 1 / math.Sqrt(max(jobs/float64(len(xs)), 1e-9))
+				count++
+			}
+		}
+		if count > 0 {
+			f.Peak, f.CV, f.Jain, f.Expected = f.Peak/count, f.CV/count, f.Jain/count, f.Expected/count
+		}
+		v.Figures = append(v.Figures, f)
+	}
+	for _, g := range names {
+		v.sweep(nodes, groups[g], from, to)
+	}
+	total := 0.0
+	for i := range nodes {
+		total += float64(min(nodes[i].To, to) - max(nodes[i].From, from))
+	}
+	if total > 0 {
+		v.Idle /= total
+		v.Herding /= float64(to - from)
+	}
+	v.times(nodes, from, to)
+	slices.SortFunc(v.Herds, func(a, b Herd) int { return cmp.Compare(a.From, b.From) })
+	for _, h := range v.Herds {
+		v.Longest = max(v.Longest, time.Duration(h.To-h.From))
+	}
+	return v
+}
+
+// windows are the jobs in hand on average in each window.
+func (n *Node) windows(from, to, w int64) []float64 {
+	held := make([]float64, max(0, int((to-from)/w)))
+	for _, x := range n.Visits {
+		end := x.Ended
+		if end == 0 || end > to {
+			end = to
+		}
+		for begin := max(x.Came, from); begin < end; {
+			k := (begin - from) / w
+			until := min(end, from+(k+1)*w)
+			if int(k) >= len(held) {
+				break
+			}
+			held[k] += float64(until-begin) / float64(w)
+			begin = until
+		}
+	}
+	return held
+}
+
+// change is a job's coming or going.
+type change struct {
+	at   int64
+	node int
+	by   int // +1, -1
+	who  int
+}
+
+// brief is what a herd has to last at least to count: below that it is the noise of single jobs.
+const brief = int64(20 * time.Millisecond)
+
+// sweep goes through a group's time, change by change.
+func (v *Verdict) sweep(nodes []Node, members []int, from, to int64) {
+	var cs []change
+	capacity := 0.0
+	for _, n := range members {
+		capacity += nodes[n].Capacity
+		for _, x := range nodes[n].Visits {
+			if x.Came >= to || x.Ended != 0 && x.Ended <= from {
+				continue
+			}
+			cs = append(cs, change{max(x.Came, from), n, 1, x.Router})
+			if x.Ended != 0 && x.Ended < to {
+				cs = append(cs, change{x.Ended, n, -1, x.Router})
+			}
+		}
+	}
+	slices.SortStableFunc(cs, func(a, b change) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.by, b.by)) })
+	held, routers := map[int]int{}, map[int]map[int]int{}
+	open := map[int]*Herd{}
+	for _, n := range members {
+		routers[n] = map[int]int{}
+	}
+	at, total := from, 0
+	var herding int64
+	pass := func(until int64) {
+		if until <= at {
+			return
+		}
+		span, waits, idle := until-at, 0, 0
+		roomy := false // one has under half of its fair part
+		some := false
+		for _, n := range members {
+			m := &nodes[n]
+			if at < m.From || at >= m.To {
+				continue
+			}
+			if over := held[n] - int(m.Capacity); over > 0 {
+				waits += over
+			}
+			if held[n] == 0 {
+				idle++
+			}
+			roomy = roomy || float64(held[n]) < 0.5*float64(total)*m.Capacity/capacity
+		}
+		if waits > 0 {
+			v.Idle += float64(span) * float64(min(idle, waits))
+		}
+		for _, n := range members {
+			m := &nodes[n]
+			fair := float64(total) * m.Capacity / capacity
+			is := roomy && float64(held[n]) > 2*fair && float64(held[n]) > m.Capacity && at >= m.From && at < m.To
+			h := open[n]
+			switch {
+			case is && h == nil:
+				open[n] = &Herd{Node: m.Name, From: at, Most: float64(held[n]), Routers: len(routers[n])}
+			case is:
+				h.Most, h.Routers = max(h.Most, float64(held[n])), max(h.Routers, len(routers[n]))
+			case h != nil:
+				if h.To = at; h.To-h.From >= brief {
+					v.Herds = append(v.Herds, *h)
+				}
+				delete(open, n)
+			}
+			some = some || is
+		}
+		if some {
+			herding += span
+		}
+		at = until
+	}
+	for _, c := range cs {
+		pass(c.at)
+		held[c.node] += c.by
+		total += c.by
+		if who := routers[c.node]; c.by > 0 {
+			who[c.who]++
+		} else if who[c.who]--; who[c.who] <= 0 {
+			delete(who, c.who)
+		}
+	}
+	pass(to)
+	for _, n := range members {
+		if h := open[n]; h != nil {
+			if h.To = to; h.To-h.From >= brief {
+				v.Herds = append(v.Herds, *h)
+			}
+		}
+	}
+	v.Herding += float64(herding)
+}
+
+// times are those that jobs took at nodes.
+func (v *Verdict) times(nodes []Node, from, to int64) {
+	var took []int64
+	for i := range nodes {
+		for _, x := range nodes[i].Visits {
+			if x.Came >= from && x.Came < to && x.Ended != 0 {
+				took = append(took, x.Ended-x.Came)
+			}
+		}
+	}
+	if v.Jobs = len(took); v.Jobs == 0 {
+		return
+	}
+	slices.Sort(took)
+	v.Median, v.High, v.Most = time.Duration(took[len(took)/2]), time.Duration(took[len(took)*99/100]), time.Duration(took[len(took)-1])
+}
+
+// String tells it in some lines.
+func (v *Verdict) String() string {
+	s := fmt.Sprintf("%d jobs; at nodes %v in the median, %v of 99 %%, %v at most\n", v.Jobs, v.Median.Round(100*time.Microsecond), v.High.Round(100*time.Microsecond),
+		v.Most.Round(100*time.Microsecond))
+	for _, f := range v.Figures {
+		s += fmt.Sprintf("windows of %-6v peak over mean %.2f, coefficient of variation %.2f (chance alone %.2f), Jain's index %.3f\n", f.Window, f.Peak, f.CV, f.Expected, f.Jain)
+	}
+	return s + fmt.Sprintf("%d herds, the longest %v, %.2f %% of the time; nodes idle while jobs waited elsewhere %.2f %% of their time", len(v.Herds),
+		v.Longest.Round(time.Millisecond), 100*v.Herding, 100*v.Idle)
+}
--- /dev/null
+++ b/internal/lab/evensim/router.go
@@ -0,0 +1,273 @@
+package evensim
+
+import (
+	"fmt"
+	"time"
+
+	"sedgestream/balance"
+	"sedgestream/internal/decide/share"
+)
+
+// router is one of many, with the module in it where the policy says so.
+type router struct {
+	w      *World
+	number int
+	weight float64
+	rate   float64 // jobs a second
+	b      *balance.Router
+	out    []int // trips out, by node
+	turn   int
+	jobs   map[balance.Place]*job
+	serial int
+	alarm  uint64
+	meter  *share.Meter
+	views  *share.Views
+}
+
+type job struct {
+	came  int64
+	group int
+	legs  int
+	work  int64
+	over  bool
+}
+
+// open starts a router.
+func (r *router) open() {
+	w := r.w
+	r.out, r.jobs = make([]int, len(w.nodes)), map[balance.Place]*job{}
+	if w.Policy.module() {
+		c := contract(&w.Plan)
+		c.Me = r.number
+		r.b = balance.Open(c, w.chance.Uint64(), r, w.now)
+		r.b.Listing(true)
+		for n := range w.nodes {
+			r.b.Member(w.now, n, w.nodes[n].group, 0, mark(n), balance.In, 1, 0, w.nodes[n].primary)
+		}
+		r.b.Listed(w.now)
+		if w.Policy == Digests {
+			r.meter, r.views = share.NewMeter(w.now), share.NewViews(int64(w.Period))
+			w.do(w.chance.Int64N(int64(w.Period)), r.tell)
+		}
+	}
+	w.do(r.gap(), r.arrive)
+}
+
+// mark is a node's.
+func mark(n int) uint32 { return uint32(n+1) * 2654435761 }
+
+// unmark is the node of a mark.
+func (w *World) unmark(m uint32) int {
+	for n := range w.nodes {
+		if mark(n) == m {
+			return n
+		}
+	}
+	panic(fmt.Sprint("evensim: no node has the mark ", m))
+}
+
+// gap is the time to the next job.
+func (r *router) gap() int64 {
+	rate := r.rate
+	if r.w.Rate != nil {
+		rate *= r.w.Rate(r.number, r.w.since())
+	}
+	return int64(r.w.chance.ExpFloat64() / max(rate, 1e-3) * 1e9)
+}
+
+// arrive takes a job in.
+func (r *router) arrive() {
+	w := r.w
+	w.do(r.gap(), r.arrive)
+	g := w.chance.IntN(w.Groups)
+	j := &job{came: w.now, group: g, work: w.draw(float64(w.Mean))}
+	w.res.Jobs++
+	if !w.Policy.module() {
+		n := w.plain(r, g*(w.Nodes+1))
+		r.serial++
+		p := balance.Place(r.serial)
+		r.jobs[p] = j
+		r.go_(p, 0, n)
+		return
+	}
+	p := r.b.Seat()
+	r.jobs[p] = j
+	t := &contract(&w.Plan).Tariffs[0]
+	r.b.Take(w.now, p, 0, g, t.HardLimit, 0, &balance.Terms{})
+}
+
+// go_ sends a trip.
+func (r *router) go_(p balance.Place, leg, n int) {
+	w, j := r.w, r.jobs[p]
+	r.out[n]++
+	w.nodes[n].coming++
+	w.nodes[n].sent++
+	w.note(uint64(r.number), uint64(n), uint64(w.now))
+	if r.meter != nil {
+		r.meter.Sent(w.now, n)
+	}
+	w.do(w.way(), func() { w.come(n, back{job: int(p), leg: leg, r: r, work: j.work}) })
+}
+
+// ended takes in a trip's ending.
+func (r *router) ended(n int, b back, e balance.Ending) {
+	w, p := r.w, balance.Place(b.job)
+	j := r.jobs[p]
+	r.out[n]--
+	if r.meter != nil {
+		r.meter.Ended(w.now, n)
+	}
+	if j == nil {
+		return
+	}
+	took := w.now - j.came
+	settled := e == balance.Done && !j.over
+	if settled {
+		j.over = true
+		w.res.Done++
+		if took > contract(&w.Plan).Tariffs[0].ContractTime {
+			w.res.Late++
+		}
+	}
+	if r.b == nil {
+		if e != balance.Done {
+			w.res.Failed++
+		}
+		delete(r.jobs, p)
+		return
+	}
+	note := balance.Note{Role: balance.Replica}
+	if w.nodes[n].primary {
+		note.Role = balance.Primary
+	}
+	r.b.Ended(w.now, p, b.leg, e, j.over, took, note, balance.Report{Held: -1})
+}
+
+// tell has the router report to the planner, and hear its digest.
+func (r *router) tell() {
+	w := r.w
+	w.do(int64(w.Period), r.tell)
+	parts := r.meter.Read(w.now, mark)
+	if w.Deaf != nil && w.Deaf(r.number, w.since()) {
+		return
+	}
+	w.bytes += sizeOf(parts, nil)
+	w.do(w.way(), func() {
+		w.ledger.Heard(w.now, uint64(r.number+1), parts)
+		es := w.ledger.Digest(w.now, 0)
+		w.bytes += sizeOf(nil, es)
+		w.do(w.way(), func() {
+			for i := range es {
+				e := &es[i]
+				n := w.unmark(e.Mark)
+				held, age := r.views.Heard(w.now, "p0", e)
+				r.b.Summed(w.now, n, held, age)
+				if s := e.Shown; s != nil {
+					rep := balance.Report{Given: true, Position: s.Position, Role: balance.Replica, Held: -1, Busy: float64(s.Busy)}
+					if s.Primary {
+						rep.Role = balance.Primary
+					}
+					r.b.Shows(w.now, n, rep)
+				}
+			}
+		})
+	})
+}
+
+// Submit implements balance.Outside.
+func (r *router) Submit(p balance.Place, n int, until int64) {
+	j := r.jobs[p]
+	leg := j.legs
+	j.legs++
+	r.go_(p, leg, n)
+}
+
+// Revoke implements balance.Outside.
+func (r *router) Revoke(balance.Place, int) {}
+
+// Grant implements balance.Outside.
+func (r *router) Grant(balance.Place, bool) bool { return true }
+
+// Bounce implements balance.Outside.
+func (r *router) Bounce(p balance.Place, _ int64) {
+	r.jobs[p].over = true
+	r.w.res.Bounced++
+}
+
+// Terminate implements balance.Outside.
+func (r *router) Terminate(p balance.Place) {
+	r.jobs[p].over = true
+	r.w.res.Failed++
+}
+
+// Alarm implements balance.Outside.
+func (r *router) Alarm(after int64) {
+	r.alarm++
+	mine := r.alarm
+	r.w.do(after, func() {
+		if r.alarm == mine {
+			r.b.Wake(r.w.now)
+		}
+	})
+}
+
+// Probe implements balance.Outside.
+func (r *router) Probe(n int) {
+	w := r.w
+	w.probes++
+	w.do(w.way(), func() {
+		rep := w.report(n)
+		w.do(w.way(), func() {
+			if r.meter != nil {
+				r.meter.Shown(w.now, n, share.Shown{Position: rep.Position, Primary: rep.Role == balance.Primary, Busy: float32(rep.Busy)})
+			}
+			r.b.Probed(w.now, n, true, rep)
+		})
+	})
+}
+
+// Release implements balance.Outside.
+func (r *router) Release(int) {}
+
+// Watch implements balance.Outside.
+func (r *router) Watch() {}
+
+// Lookup implements balance.Outside.
+func (r *router) Lookup() {}
+
+// Tell implements balance.Outside.
+func (r *router) Tell(to int, words []byte) {
+	w := r.w
+	text := append([]byte(nil), words...)
+	for _, o := range w.routers {
+		if o != r && (to < 0 || o.number == to) {
+			w.bytes += float64(len(text))
+			w.do(w.way(), func() { o.b.Heard(w.now, r.number, text) })
+		}
+	}
+}
+
+// Log implements balance.Outside.
+func (r *router) Log(int, string) {}
+
+// Vacate implements balance.Outside.
+func (r *router) Vacate(p balance.Place) { delete(r.jobs, p) }
+
+// note takes into the hash what happened.
+func (w *World) note(ns ...uint64) {
+	var b [8]byte
+	for _, n := range ns {
+		for i := range b {
+			b[i] = byte(n >> (8 * i))
+		}
+		w.hash.Write(b[:])
+	}
+}
+
+// Usual is a plan of so many routers at a load: five routers for a node of four cores, groups of up to twelve nodes.
+func Usual(routers int, load float64, p Policy, seed uint64) Plan {
+	nodes := max(4, routers/5)
+	groups := max(1, nodes/12)
+	return Plan{Seed: seed, Routers: routers, Nodes: nodes / groups, Groups: groups, Cores: 4, Mean: 8 * time.Millisecond, Load: load, Uneven: 0.8, Span: 4 * time.Second,
+		Warm: 2 * time.Second, Period: 100 * time.Millisecond, Delay: 500 * time.Microsecond, Policy: p}
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -166,6 +166,16 @@
 	return s.members.Holds(s.now())
 }
 
+// Routers are how many of those that may be sending heed planners; 0 while that is not known.
+func (s *Instance) Routers() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.members.Holds(s.now()).Senders == 0 {
+		return 0
+	}
+	return s.members.Sending(members.Forwarder)
+}
+
 // Known is everyone that this instance knows of.
 func (s *Instance) Known() []members.Known {
 	s.mu.Lock()
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -19,6 +19,7 @@
 
 	"sedgestream/internal/decide/members"
 	"sedgestream/internal/decide/plan"
+	"sedgestream/internal/decide/share"
 	"sedgestream/internal/member"
 	"sedgestream/internal/words"
 )
@@ -59,6 +60,7 @@
 	verdicts   uint64 // how often a node was condemned
 	pools      map[string]*plan.Pool
 	jury       *plan.Jury
+	loads      *share.Ledger // what routers have at nodes
 	forwarders map[plan.Life]*forwarder
 	conns      map[*conn]struct{}
 	last       int64 // when it last ticked
@@ -93,7 +95,7 @@
 		return nil, err
 	}
 	s := &Planner{post: p, log: log, listener: l, start: time.Now(), stop: make(chan struct{}), board: plan.NewBoard(),
-		changed: map[string]change{}, jury: plan.NewJury(int64(p.Voices)),
+		changed: map[string]change{}, jury: plan.NewJury(int64(p.Voices)), loads: share.NewLedger(int64(p.Period)),
 		forwarders: map[plan.Life]*forwarder{}, conns: map[*conn]struct{}{}}
 	s.begin()
 	s.last = s.now()
@@ -383,6 +385,10 @@
 	if holds.Hints {
 		a.Condemned = s.condemned()
 	}
+	if len(r.Loads) > 0 || s.loads.Routers(now) > 0 {
+		s.loads.Heard(now, uint64(c.hello.Life), r.Loads)
+		a.Digest = s.loads.Digest(now, s.member.Routers())
+	}
 	return a
 }
 
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -173,7 +173,7 @@
 			return err
 		}
 		if s.files.Forward {
-			post := forward.Post{Name: p.Name, Planners: tier.Planners, Term: tier.Term, Period: tier.Period}
+			post := forward.Post{Name: p.Name, Planners: tier.Planners, Term: tier.Term, Period: tier.Period, Loads: tier.Loads}
 			if s.member != nil {
 				post.Holds = s.member.Holds
 			}
--- a/internal/tierfile/tierfile.go
+++ b/internal/tierfile/tierfile.go
@@ -31,6 +31,8 @@
 	Seeds   []string
 	Probe   time.Duration
 	Forget  time.Duration
+	// Loads has routers that heed planners tell them of their trips, and go by what these add up over all.
+	Loads bool
 }
 
 // What stands where the file says nothing: a term that outlasts a second's trouble, and so many reports within it that one
@@ -80,6 +82,7 @@
 	if n, ok := top["connections"].(float64); ok {
 		t.Connections = int(n)
 	}
+	_, t.Loads = top["loads"].(map[string]any)
 	planners, _ := top["planners"].([]any)
 	for i, p := range planners {
 		m, _ := p.(map[string]any)
--- a/internal/words/words.go
+++ b/internal/words/words.go
@@ -17,6 +17,7 @@
 
 	"sedgestream/internal/decide/members"
 	"sedgestream/internal/decide/plan"
+	"sedgestream/internal/decide/share"
 )
 
 // Version is that of the words. Another one ends the connection.
@@ -64,6 +65,7 @@
 	Saw     []NodeSaw     `msgpack:"s,omitempty"`
 	Notices []plan.Notice `msgpack:"n,omitempty"` // of its own list
 	Beliefs []Belief      `msgpack:"b,omitempty"` // for operators
+	Loads   []share.Part  `msgpack:"l,omitempty"` // of its own trips, since the report before
 }
 
 // NodeAsk asks for a lease of a node.
@@ -94,6 +96,7 @@
 	Condemned []string      `msgpack:"c,omitempty"` // all of them, whenever there is an answer to a report
 	Answered  bool          `msgpack:"d,omitempty"` // it answers a report, and is not only news
 	Live      []string      `msgpack:"p,omitempty"` // planners of this one's view; none while it has no view to go by
+	Digest    []share.Entry `msgpack:"e,omitempty"` // of what all routers have at nodes
 }
 
 // NodeSay answers an ask.
@@ -170,6 +173,12 @@
 	if r := w.Report; r != nil {
 		errs = append(errs, count("asks", len(r.Asks)), count("sights", len(r.Saw)), count("beliefs", len(r.Beliefs)))
 		notices(r.Notices)
+		if len(r.Loads) > share.MostParts {
+			errs = append(errs, fmt.Errorf("words: loads of %d nodes", len(r.Loads)))
+		}
+		for i := range r.Loads {
+			errs = append(errs, load(r.Loads[i].Held, r.Loads[i].Shown))
+		}
 		for _, a := range r.Asks {
 			if errs = append(errs, name(a.Node)); a.Ask.Share < 0 || a.Ask.Want < 0 || a.Ask.Share > mostShare || a.Ask.Want > mostShare {
 				errs = append(errs, fmt.Errorf("words: a share of %d and a want of %d", a.Ask.Share, a.Ask.Want))
@@ -182,6 +191,12 @@
 	if a := w.Answer; a != nil {
 		errs = append(errs, count("says", len(a.Says)), count("nodes", len(a.Condemned)), count("planners", len(a.Live)))
 		notices(a.Notices)
+		if len(a.Digest) > share.MostEntries {
+			errs = append(errs, fmt.Errorf("words: a digest of %d nodes", len(a.Digest)))
+		}
+		for i := range a.Digest {
+			errs = append(errs, load(a.Digest[i].Held, a.Digest[i].Shown))
+		}
 		for _, s := range a.Says {
 			if errs = append(errs, name(s.Node)); s.Say.Lease < 0 || s.Say.Lease > mostShare {
 				errs = append(errs, fmt.Errorf("words: a lease of %d", s.Say.Lease))
@@ -200,6 +215,14 @@
 	return errors.Join(errs...)
 }
 
+// load holds a node's against its bounds. What is no number is none of them.
+func load(held float32, shown *share.Shown) error {
+	if !(held >= 0 && held <= share.MostHeld) || shown != nil && !(shown.Position > 0 && shown.Busy >= 0) {
+		return fmt.Errorf("words: a load of %v, %+v", held, shown)
+	}
+	return nil
+}
+
 // mostShare keeps sums of shares within an int64.
 const mostShare = 1 << 48
 
