What planners add up says what nodes are worth; even load measured and played among a hundred processes

Cause: digests of what nodes hold, 100 to 300 ms old, only had routers flee and crowd together where trips take 8 to 20 ms; and a node weaker than listed, or one that says it holds nothing, drew jobs all the same.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -253,7 +253,7 @@
 // pull is the design's weight / (1 + trips). Sparse routers all know the same old news, and would crowd the
 // emptiest node till the next: they draw lots in proportion, and reckon with trips that no news show yet.
 func (r *Router) pull(m *node, now int64) float64 {
-	weight, crowd := m.weight*r.warmth(m, now), r.crowd(m, now)
+	weight, crowd := m.strength(now, r.fade)*r.warmth(m, now), r.crowd(m, now)
 	if !r.sparse() {
 		return weight / (1 + crowd)
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"slices"
 )
 
@@ -81,6 +82,7 @@
 	room                        room
 	busy, shown                 float64 // cores, and trips held, by its last report
 	shownAt, answered           int64   // when it showed that, and when a probe of this router's last came back
+	lean                        float64 // logarithm of how much stronger it proves than its weight, by all
 	all                         float64 // trips that all routers have there, as they were last summed up for this one
 	allAt                       int64   // and when that was so
 	mark                        uint32
@@ -280,12 +282,21 @@
 }
 
 // Summed takes in what all routers together have at a node, as of a while ago, by whoever adds that up for them.
-func (r *Router) Summed(now int64, n int, held float64, age int64) {
+// Lean is the logarithm of how much stronger the node has proved than its weight says.
+func (r *Router) Summed(now int64, n int, held, lean float64, age int64) {
 	if m := &r.nodes[n]; m.group >= 0 && now-age >= m.allAt {
-		m.all, m.allAt, r.toldAt = held, now-age, now
+		m.all, m.lean, m.allAt, r.toldAt = held, lean, now-age, now
 	}
 }
 
+// strength is the node's weight, and what it has proved to be beside that, which fades where nobody says so any more.
+func (m *node) strength(now int64, fade int64) float64 {
+	if m.lean == 0 {
+		return m.weight
+	}
+	return m.weight * math.Exp(m.lean*max(0, 1-float64(now-m.allAt)/float64(8*fade)))
+}
+
 // Shows takes in a report of a node that another router was given.
 func (r *Router) Shows(now int64, n int, rep Report) {
 	if m := &r.nodes[n]; m.group >= 0 && rep.Position > m.position {
--- a/cmd/sedgestream/lab.go
+++ b/cmd/sedgestream/lab.go
@@ -8,6 +8,7 @@
 
 	"sedgestream/internal/advise"
 	"sedgestream/internal/lab/day"
+	"sedgestream/internal/lab/evensim"
 	"sedgestream/internal/lab/fleet"
 )
 
@@ -20,6 +21,7 @@
 type labWords struct {
 	Demo   labDemo   `cmd:"" help:"Start a small fleet on this machine, break some of it, and show what happens; half a minute."`
 	Fleet  labFleet  `cmd:"" help:"Play a day of faults among processes of this program on this machine."`
+	Even   labEven   `cmd:"" help:"Tell how evenly load lies on nodes in a day, by this module and by other ways to choose."`
 	Schema labSchema `cmd:"" help:"Print the JSON schema of files of days."`
 }
 
@@ -70,6 +72,31 @@
 	return err
 }
 
+type labEven struct {
+	stage
+	File      string `arg:"" name:"day" help:"File of the day; sedgestream lab schema has its form."`
+	Processes bool   `help:"Play it among processes, too."`
+}
+
+func (labEven) Help() string {
+	return "In simulated time each way to choose a node plays the same day, the module among them; with --processes routers of this program play it as well.\n\nExample:\n\n    sedgestream lab even docs/days/even.json --processes"
+}
+func (l *labEven) Run() error {
+	d, err := day.Read(l.File)
+	if err != nil {
+		desk := advise.Desk{Out: os.Stdout, Err: os.Stderr, Env: os.Getenv}
+		return desk.Faults(err)
+	}
+	evensim.Compare(os.Stdout, d)
+	if !l.Processes {
+		return nil
+	}
+	if err = l.play(d); errors.Is(err, fleet.ErrFound) {
+		return advise.Wrong
+	}
+	return err
+}
+
 type labSchema struct{}
 
 func (labSchema) Help() string {
--- a/internal/advise/plan.go
+++ b/internal/advise/plan.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"text/tabwriter"
 	"time"
@@ -89,6 +90,12 @@
 			if n.Condemned {
 				said += ", condemned"
 			}
+			if e := n.Load; e != nil {
+				said += fmt.Sprintf(", %.1f trips of %d routers", e.Held, e.Routers)
+				if e.Lean != 0 {
+					said += fmt.Sprintf(", %.2f times as strong as listed", math.Exp(float64(e.Lean)))
+				}
+			}
 			rows[n.Notice.Node][i] = fmt.Sprintf("%s\t%d of %d\t%d", said, n.Lent, n.Pledged, n.Holders)
 		}
 	}
--- a/internal/decide/share/share.go
+++ b/internal/decide/share/share.go
@@ -40,7 +40,10 @@
 	Mark     uint32   // the node's, as the module has it
 	Held     float32  // trips that it had out there, on average since it said so last
 	Sent     uint32   // trips since then
-	Shown    *Shown   // if the node has said anything since
+	Failed   uint32   // trips since then that ended without an answer of the node's, or by an error
+	Group    int64    // the node's, and its weight by the list
+	Weight   float32
+	Shown    *Shown // if the node has said anything since
 }
 
 // Meter is one router's account of its own trips by node.
@@ -54,6 +57,7 @@
 	sum   int64 // trips times ns since the last reading
 	at    int64 // up to when sum goes
 	sent  uint32
+	fails uint32
 	shown Shown
 	news  bool // the node has shown something since
 }
@@ -78,10 +82,12 @@
 	s.sent++
 }
 
-// Ended notes its end.
-func (m *Meter) Ended(now int64, n int) {
-	if s := m.slot(now, n); s.held > 0 {
-		s.held--
+// Ended notes its end, and whether the node failed in it.
+func (m *Meter) Ended(now int64, n int, failed bool) {
+	s := m.slot(now, n)
+	s.held = max(0, s.held-1)
+	if failed {
+		s.fails++
 	}
 }
 
@@ -99,20 +105,20 @@
 	}
 }
 
-// Read gives the parts since it was last read, and begins anew. Nodes without a mark (0) are left out; of too many, those that
-// this router has the most trips at are told.
-func (m *Meter) Read(now int64, mark func(n int) uint32) (parts []Part) {
+// Read gives the parts since it was last read, and begins anew; name fills in which node it is. Nodes without a mark (0) are left
+// out; of too many, those that this router has the most trips at are told.
+func (m *Meter) Read(now int64, name func(n int, p *Part)) (parts []Part) {
 	span := float64(max(1, now-m.said))
 	m.said = now
 	for n := range m.of {
 		s := m.slot(now, n)
-		sum, sent, news := s.sum, s.sent, s.news
-		s.sum, s.sent, s.news = 0, 0, false
-		if sum == 0 && sent == 0 && !news {
+		p, sum, news := Part{Sent: s.sent, Failed: s.fails}, s.sum, s.news
+		s.sum, s.sent, s.fails, s.news = 0, 0, 0, false
+		if sum == 0 && p.Sent == 0 && !news {
 			continue
 		}
-		p := Part{Mark: mark(n), Held: float32(float64(sum) / span), Sent: sent}
-		if p.Mark == 0 {
+		p.Held = float32(float64(sum) / span)
+		if name(n, &p); p.Mark == 0 {
 			continue
 		}
 		if news {
@@ -132,9 +138,10 @@
 type Entry struct {
 	_msgpack struct{} `msgpack:",as_array"`
 	Mark     uint32
-	Held     float32 // trips out there
+	Held     float32 // trips out there, as they probably are when routers act on it
 	Rate     float32 // trips a second
 	Trend    float32 // change of Held in a second
+	Lean     float32 // logarithm of how much stronger the node proves than its weight says
 	Routers  uint16  // that have said so
 	Age      uint32  // of it on average, in ms
 	Shown    *Shown  // the newest that any router was shown
@@ -159,11 +166,20 @@
 // total is what a node has by all.
 type total struct {
 	held, was float64
+	mean      float64 // of held
+	soon      float64 // held as it probably is when routers act on it
 	trend     float64
 	told      float64 // when it was last in a digest
 	toldAt    int64
 	rate, age float64
+	fails     float64 // a second
 	routers   int
+	group     int64
+	weight    float64
+	seenOf    curve   // of its trips
+	proof     float64 // of its strength: logarithms, weighed by trips
+	trips     float64
+	lean      float64
 	shown     Shown
 	shownAt   int64
 	seen      int64 // when anybody last named it
@@ -203,10 +219,10 @@
 			if len(l.nodes) >= MostNodes {
 				continue
 			}
-			t = &total{}
+			t = &total{mean: -1}
 			l.nodes[p.Mark] = t
 		}
-		t.seen = now
+		t.seen, t.group, t.weight = now, p.Group, max(float64(p.Weight), 1e-3)
 		if p.Shown != nil && p.Shown.Position > t.shown.Position {
 			t.shown, t.shownAt = *p.Shown, now
 		}
@@ -240,9 +256,12 @@
 		return l.digest
 	}
 	since := now - l.made
+	if l.made == 0 {
+		since = l.period
+	}
 	l.made = now
 	for _, t := range l.nodes {
-		t.rate, t.age, t.routers = 0, 0, 0
+		t.rate, t.fails, t.age, t.routers = 0, 0, 0, 0
 		t.was, t.held = t.held, 0
 	}
 	heard := 0
@@ -262,6 +281,7 @@
 				held := w * float64(p.Held)
 				t.held += held
 				t.rate += w * float64(p.Sent) * 1e9 / float64(s.span)
+				t.fails += w * float64(p.Failed) * 1e9 / float64(s.span)
 				t.age += held * float64(age+s.span/2)
 				t.routers++
 			}
@@ -281,10 +301,114 @@
 			delete(l.nodes, mark)
 		}
 	}
+	l.lean(since)
+	l.foresee(since)
 	l.digest = l.pick(now)
 	return l.digest
 }
 
+// Of leaning.
+const (
+	curveOver = 10.0 // seconds over which a group's common curve is learnt
+	leanOver  = 3.0  // and what a node makes of it
+	doubt     = 100  // trips for which a node is taken to be as its weight says
+	noise     = 0.15 // logarithm of a strength that is no news; near its limit a node bears no weight that is but noise
+	mostLean  = 1.4
+	clear     = 1.0  // of a single word: more is believed over time only
+	failing   = 0.05 // part of its trips: times of what fails say nothing of strength
+	leastRate = 5.0  // trips a second below which nothing is said
+)
+
+// curve is how long trips take at a group's nodes by how many trips these hold against their weight: a line, by least squares
+// over what has been seen lately. Its slope is that of waiting.
+type curve struct{ n, x, xx, y, xy float64 }
+
+func (c *curve) add(w, x, y float64) {
+	c.n, c.x, c.xx, c.y, c.xy = c.n+w, c.x+w*x, c.xx+w*x*x, c.y+w*y, c.xy+w*x*y
+}
+
+// sum adds what another has seen so many times; -1 takes it away.
+func (c *curve) sum(o *curve, times float64) {
+	c.n, c.x, c.xx, c.y, c.xy = c.n+times*o.n, c.x+times*o.x, c.xx+times*o.xx, c.y+times*o.y, c.xy+times*o.xy
+}
+
+func (c *curve) fade(keep float64) {
+	c.n, c.x, c.xx, c.y, c.xy = c.n*keep, c.x*keep, c.xx*keep, c.y*keep, c.xy*keep
+}
+
+// at is what the line says.
+func (c *curve) at(x float64) float64 {
+	mean, slope := c.y/c.n, 0.0
+	if v := c.xx - c.x*c.x/c.n; v > 1e-9*c.xx {
+		slope = max(0, (c.xy-c.x*c.y/c.n)/v)
+	}
+	return max(mean+slope*(x-c.x/c.n), mean/8)
+}
+
+// lean has each node be judged by how long trips take there, against what they take at its group's nodes on average with as many
+// trips in hand (Little's law gives the time from what is held and how fast it comes). A node at which they take twice as long is
+// half as strong as its weight says, whatever the list tells and whatever the node says of itself. It goes by what trips took, not by
+// how evenly load lies: that would feed noise back, and at high load a weight that is wrong by a twentieth does harm.
+func (l *Ledger) lean(since int64) {
+	secs := min(float64(since)/1e9, 1)
+	curves := map[int64]*curve{}
+	marks := slices.Sorted(maps.Keys(l.nodes))
+	judged := func(t *total) bool {
+		return !t.shown.Primary && t.rate >= leastRate && t.held > 0 && t.fails <= failing*t.rate
+	}
+	for _, mark := range marks {
+		t := l.nodes[mark]
+		if t.seenOf.fade(math.Exp(-secs / curveOver)); judged(t) {
+			t.seenOf.add(secs*t.rate, t.held/t.weight, t.held/t.rate)
+		}
+		c := curves[t.group]
+		if c == nil {
+			c = &curve{}
+			curves[t.group] = c
+		}
+		c.sum(&t.seenOf, 1)
+	}
+	for _, mark := range marks {
+		t := l.nodes[mark]
+		keep := math.Exp(-secs / leanOver)
+		t.proof, t.trips = t.proof*keep, t.trips*keep
+		others := *curves[t.group] // a node that stands apart would else draw the line through itself
+		if others.sum(&t.seenOf, -1); judged(t) && others.n > doubt {
+			w := t.rate * secs
+			t.proof += w * min(clear, max(-clear, math.Log(others.at(t.held/t.weight)*t.rate/t.held)))
+			t.trips += w
+		}
+		is := t.proof / (t.trips + doubt)
+		t.lean = math.Copysign(min(mostLean, max(0, math.Abs(is)-noise)), is)
+		if t.fails > failing*t.rate {
+			t.lean = -mostLean
+		}
+	}
+}
+
+// Of foreseeing.
+const (
+	relax    = 2.0 // times of its trips in which a node's load has become another, as these are under way so long and new ones come
+	meanOver = 1.0 // seconds
+)
+
+// foresee reckons what nodes will hold when routers act on a digest: of what a node held beside its mean of late the less is left the
+// older that is, measured by how long its trips take. News that is older than the trips it tells of says nothing but how the node
+// fares as a rule; to act on it would only have all routers flee from and crowd on nodes together.
+func (l *Ledger) foresee(since int64) {
+	part := -math.Expm1(-float64(since) / 1e9 / meanOver)
+	for _, t := range l.nodes {
+		if t.mean < 0 {
+			t.mean = t.held
+		}
+		t.mean += part * (t.held - t.mean)
+		if t.soon = t.held; t.rate > 0 {
+			takes := t.held / t.rate * 1e9
+			t.soon = t.mean + (t.held-t.mean)*math.Exp(-(t.age+float64(l.period)/2)/(relax*takes+1))
+		}
+	}
+}
+
 // pick chooses the nodes of a digest, of more than it has room for: those of which most has changed since they were last told,
 // and those told longest ago, so that each comes in its turn.
 func (l *Ledger) pick(now int64) []Entry {
@@ -294,20 +418,20 @@
 	}
 	dues := make([]due, 0, len(l.nodes))
 	for mark, t := range l.nodes {
-		dues = append(dues, due{mark, math.Abs(t.held-t.told) + float64(now-t.toldAt)/float64(8*l.period)})
+		dues = append(dues, due{mark, math.Abs(t.soon-t.told) + float64(now-t.toldAt)/float64(8*l.period)})
 	}
 	slices.SortFunc(dues, func(a, b due) int { return cmp.Or(-cmp.Compare(a.urgent, b.urgent), cmp.Compare(a.mark, b.mark)) })
 	dues = dues[:min(len(dues), MostEntries)]
 	es := make([]Entry, 0, len(dues))
 	for _, d := range dues {
 		t := l.nodes[d.mark]
-		e := Entry{Mark: d.mark, Held: float32(t.held), Rate: float32(t.rate), Trend: float32(t.trend),
+		e := Entry{Mark: d.mark, Held: float32(t.soon), Rate: float32(t.rate), Trend: float32(t.trend), Lean: float32(t.lean),
 			Routers: uint16(min(t.routers, math.MaxUint16)), Age: uint32(t.age / 1e6)}
 		if t.shown.Position > 0 && now-t.shownAt < lasts*l.period {
 			shown := t.shown
 			e.Shown = &shown
 		}
-		t.told, t.toldAt = t.held, now
+		t.told, t.toldAt = t.soon, now
 		es = append(es, e)
 	}
 	slices.SortFunc(es, func(a, b Entry) int { return cmp.Compare(a.Mark, b.Mark) })
--- /dev/null
+++ b/internal/decide/share/share_test.go
@@ -0,0 +1,248 @@
+package share
+
+import (
+	"flag"
+	"math"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+const ms = int64(1e6)
+
+// TestMain fixes the seed of the generated inputs, so that each run has the same verdict; flags given still win.
+func TestMain(m *testing.M) {
+	flag.Set("rapid.seed", "2029")
+	flag.Set("rapid.nofailfile", "true")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// What a meter tells is the time for which trips were out, whatever comes in what order, and each trip is told once.
+func TestMeter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := int64(1e12)
+		m := NewMeter(now)
+		var out [3]int
+		var want, sum [3]float64
+		var sent, told [3]int
+		last := now
+		read := func() {
+			span := float64(now - last)
+			last = now
+			for _, p := range m.Read(now, func(n int, p *Part) { p.Mark = uint32(n + 1) }) {
+				sum[p.Mark-1] += float64(p.Held) * max(span, 1)
+				told[p.Mark-1] += int(p.Sent)
+			}
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			after := rapid.Int64Range(0, 50).Draw(t, "after") * ms
+			now += after
+			for n := range out {
+				want[n] += float64(int64(out[n]) * after)
+			}
+			switch n := rapid.IntRange(0, 2).Draw(t, "node"); rapid.IntRange(0, 2).Draw(t, "what") {
+			case 0:
+				m.Sent(now, n)
+				out[n]++
+				sent[n]++
+			case 1:
+				if m.Ended(now, n, false); out[n] > 0 {
+					out[n]--
+				}
+			case 2:
+				read()
+			}
+		}
+		read()
+		for n := range out {
+			if math.Abs(sum[n]-want[n]) > 1e-3*want[n]+1 || sent[n] != told[n] {
+				t.Fatalf("node %d: told %v and %d trips, want %v and %d", n, sum[n], told[n], want[n], sent[n])
+			}
+		}
+	})
+}
+
+// feed has routers say each period what they hold at each node of a group, as long as given.
+func feed(l *Ledger, now *int64, periods, routers int, held func(node int) (trips, rate float64)) []Entry {
+	for range periods {
+		*now += l.period
+		for r := range routers {
+			var ps []Part
+			for n := range 5 {
+				h, rate := held(n)
+				ps = append(ps, Part{Mark: uint32(n + 1), Held: float32(h / float64(routers)), Sent: uint32(rate * float64(l.period) / 1e9 / float64(routers)), Weight: 1})
+			}
+			l.Heard(*now, uint64(r+1), ps)
+		}
+		l.Digest(*now, 0)
+	}
+	l.made = 0
+	return l.Digest(*now, 0)
+}
+
+func entry(es []Entry, mark uint32) (e Entry) {
+	for i := range es {
+		if es[i].Mark == mark {
+			e = es[i]
+		}
+	}
+	return e
+}
+
+// The sum over all is what they said, each once; who falls silent counts for less and less, and not for nothing at once; who leaves
+// by its own word is out at once; where some were not heard that are there, the others stand for them, within bounds.
+func TestLedgerSums(t *testing.T) {
+	l, now := NewLedger(100*ms), int64(1e12)
+	held := func(n int) (float64, float64) { return float64(10 * (n + 1)), 1000 }
+	es := feed(l, &now, 5, 10, held)
+	if e := entry(es, 3); math.Abs(l.nodes[3].held-30) > 0.1 || math.Abs(float64(e.Held)-30) > 0.1 || e.Routers != 10 || math.Abs(float64(e.Rate)-1000) > 20 {
+		t.Errorf("%+v", e)
+	}
+	last := 30.0
+	for p := range 14 {
+		now += l.period
+		l.Digest(now, 0)
+		h := l.nodes[3].held
+		if h > last+1e-3 || p < fresh-1 && h < 29.9 || p > lasts && h > 0 {
+			t.Errorf("%d periods after the last word: %v, %v before", p+1, h, last)
+		}
+		last = h
+	}
+	feed(l, &now, 3, 10, held)
+	l.Gone(4)
+	l.made = 0
+	if l.Digest(now, 0); math.Abs(l.nodes[3].held-27) > 0.1 {
+		t.Errorf("one has left: %+v", l.nodes[3])
+	}
+	for senders, want := range map[int]float64{18: 54, 9: 27, 5: 27, 0: 27, 900: 27 * mostScale} {
+		l.made = 0
+		if l.Digest(now, senders); math.Abs(l.nodes[3].held-want) > 0.2 {
+			t.Errorf("%d senders: %v, not %v", senders, l.nodes[3].held, want)
+		}
+	}
+}
+
+// A digest has its bounds however many nodes there are, and each node comes in its turn.
+func TestDigestBounded(t *testing.T) {
+	l, now := NewLedger(100*ms), int64(1e12)
+	seen := map[uint32]bool{}
+	for p := range 60 {
+		now += l.period
+		for r := range 20 {
+			var ps []Part
+			for n := range MostParts {
+				ps = append(ps, Part{Mark: uint32(1 + (r*40+n+p)%600), Held: float32(n), Sent: 1, Weight: 1})
+			}
+			l.Heard(now, uint64(r+1), ps)
+		}
+		es := l.Digest(now, 0)
+		if len(es) > MostEntries {
+			t.Fatalf("%d entries", len(es))
+		}
+		for _, e := range es {
+			seen[e.Mark] = true
+		}
+	}
+	if len(seen) < 590 {
+		t.Errorf("%d of 600 nodes were ever told of", len(seen))
+	}
+	for n := range 2 * MostNodes {
+		l.Heard(now, 1, []Part{{Mark: uint32(n + 1), Held: 1}})
+	}
+	if len(l.nodes) > MostNodes {
+		t.Errorf("%d nodes", len(l.nodes))
+	}
+}
+
+// A node at which trips take twice as long as at others is half as strong, whatever it holds; equal ones lean by nothing at all,
+// even though their loads differ; one that fails is not strong because it holds little; and what was learnt fades.
+func TestLean(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		held        func(n int) (float64, float64) // of node 0; the others hold 4 at 200 a second, and 10 at 250
+		least, most float64
+	}{
+		{"equal", func(int) (float64, float64) { return 4, 200 }, 0, 0},
+		{"equal and crowded", func(int) (float64, float64) { return 10, 250 }, 0, 0},
+		{"half", func(int) (float64, float64) { return 8, 120 }, -0.7, -0.3},
+		{"twice", func(int) (float64, float64) { return 2, 300 }, 0.1, 0.7},
+		{"hardly used", func(int) (float64, float64) { return 0.02, 1 }, 0, 0},
+	} {
+		l, now := NewLedger(100*ms), int64(1e12)
+		es := feed(l, &now, 100, 10, func(n int) (float64, float64) {
+			switch {
+			case n == 0:
+				return c.held(n)
+			case n%2 == 0:
+				return 10, 250
+			}
+			return 4, 200
+		})
+		if e := entry(es, 1); float64(e.Lean) < c.least || float64(e.Lean) > c.most {
+			t.Errorf("%s: leans by %v", c.name, e.Lean)
+		}
+		if e := entry(es, 2); math.Abs(float64(e.Lean)) > 0.1 {
+			t.Errorf("%s: another one leans by %v", c.name, e.Lean)
+		}
+	}
+	l, now := NewLedger(100*ms), int64(1e12)
+	feed(l, &now, 50, 10, func(int) (float64, float64) { return 4, 200 })
+	for range 20 {
+		now += l.period
+		l.Heard(now, 1, []Part{{Mark: 1, Held: 0.1, Sent: 30, Failed: 30, Weight: 1}})
+	}
+	l.made = 0
+	if e := entry(l.Digest(now, 0), 1); e.Lean > -mostLean+0.01 {
+		t.Errorf("one that fails leans by %v", e.Lean)
+	}
+}
+
+// What a node held for a moment is forgotten by the time that routers act, unless its trips take as long; what it holds as a rule is not.
+func TestForesee(t *testing.T) {
+	for takes, least := range map[float64]float64{10: 4, 2000: 15} { // ms
+		l, now := NewLedger(100*ms), int64(1e12)
+		calm := func(int) (float64, float64) { return 4, 4 / takes * 1e3 }
+		feed(l, &now, 30, 10, calm)
+		es := feed(l, &now, 1, 10, func(n int) (float64, float64) {
+			if n == 0 {
+				return 20, 20 / takes * 1e3
+			}
+			return calm(n)
+		})
+		h := float64(entry(es, 1).Held)
+		if h < least || h > least+6 {
+			t.Errorf("trips of %v ms: %v", takes, h)
+		}
+		es = feed(l, &now, 60, 10, func(int) (float64, float64) { return 20, 20 / takes * 1e3 })
+		if h := entry(es, 1).Held; h < 19 || h > 21 {
+			t.Errorf("trips of %v ms, always 20 held: %v", takes, h)
+		}
+	}
+}
+
+// Of planners that contradict each other the one counts that more routers stand behind; among equals the newest; and one that has
+// fallen silent counts no more.
+func TestViews(t *testing.T) {
+	v, now := NewViews(100*ms), int64(1e12)
+	say := func(planner string, held float32, routers uint16, age uint32) float64 {
+		h, _ := v.Heard(now, planner, &Entry{Mark: 7, Held: held, Routers: routers, Age: age})
+		return h
+	}
+	say("a", 10, 100, 50)
+	if h := say("b", 3, 40, 10); h != 10 {
+		t.Errorf("of the two halves the smaller one counts: %v", h)
+	}
+	if h := say("b", 4, 95, 10); h != 4 {
+		t.Errorf("of equals the older one counts: %v", h)
+	}
+	now += 3 * v.period
+	if h := say("b", 2, 10, 10); h != 2 {
+		t.Errorf("one that is silent counts: %v", h)
+	}
+	now += (kept + 1) * v.period
+	if v.Forget(now); len(v.of) != 0 {
+		t.Errorf("%d nodes are kept", len(v.of))
+	}
+}
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -266,7 +266,7 @@
 	s.stay.Ended(e, took)
 	if d.meter != nil {
 		d.metered(s.nodes[leg], rep)
-		d.meter.Ended(d.Now(), s.nodes[leg])
+		d.meter.Ended(d.Now(), s.nodes[leg], e == balance.Failed || e == balance.Unreachable || e == balance.Broken)
 	}
 	d.router.Ended(d.Now(), t.place, leg, e, s.over, took, note, rep)
 	return serve
--- a/internal/desk/loads.go
+++ b/internal/desk/loads.go
@@ -21,14 +21,14 @@
 	if d.meter == nil {
 		return nil
 	}
-	return d.meter.Read(d.Now(), func(n int) uint32 {
+	return d.meter.Read(d.Now(), func(n int, p *share.Part) {
 		if n >= len(d.names) || d.names[n] == "" {
-			return 0
+			return
 		}
 		if mark := crc32.ChecksumIEEE([]byte(d.names[n])); d.marks[mark] == n {
-			return mark
+			w := d.rows[d.names[n]]
+			p.Mark, p.Group, p.Weight = mark, w.Group, float32(w.Weight)
 		}
-		return 0
 	})
 }
 
@@ -47,7 +47,7 @@
 			continue
 		}
 		held, age := believe(e)
-		d.router.Summed(now, n, held, age)
+		d.router.Summed(now, n, held, float64(e.Lean), age)
 		if s := e.Shown; s != nil {
 			rep := balance.Report{Given: true, Position: s.Position, Role: balance.Replica, Held: -1, Busy: float64(s.Busy)}
 			if s.Primary {
--- a/internal/lab/day/file.go
+++ b/internal/lab/day/file.go
@@ -27,7 +27,9 @@
 	Work                     time.Duration
 	Clients                  int // of each router
 	Pause                    time.Duration
-	Contract                 string // a file with the routers' settings; "" for the rig's own
+	Loads, Reads             bool    // routers tell planners of their trips; clients only read
+	Uneven                   float64 // standard deviation of the logarithm of routers' traffic
+	Contract                 string  // a file with the routers' settings; "" for the rig's own
 }
 
 // Usual is what stands where a file says nothing.
@@ -50,16 +52,19 @@
 		Faults  []fileFault `json:"faults"`
 	}
 	fileFleet struct {
-		Planners *int   `json:"planners,omitempty"`
-		Routers  int    `json:"routers"`
-		Plain    int    `json:"plain,omitempty"`
-		Groups   int    `json:"groups,omitempty"`
-		Nodes    int    `json:"nodes,omitempty"`
-		Cores    int    `json:"cores,omitempty"`
-		Work     string `json:"work,omitempty"`
-		Clients  *int   `json:"clients,omitempty"`
-		Pause    string `json:"pause,omitempty"`
-		Contract string `json:"contract,omitempty"`
+		Planners *int    `json:"planners,omitempty"`
+		Routers  int     `json:"routers"`
+		Plain    int     `json:"plain,omitempty"`
+		Groups   int     `json:"groups,omitempty"`
+		Nodes    int     `json:"nodes,omitempty"`
+		Cores    int     `json:"cores,omitempty"`
+		Work     string  `json:"work,omitempty"`
+		Clients  *int    `json:"clients,omitempty"`
+		Pause    string  `json:"pause,omitempty"`
+		Loads    bool    `json:"loads,omitempty"`
+		Reads    bool    `json:"reads,omitempty"`
+		Uneven   float64 `json:"uneven,omitempty"`
+		Contract string  `json:"contract,omitempty"`
 	}
 	fileFault struct {
 		At     string  `json:"at"`
@@ -84,7 +89,8 @@
 func (d *Day) Write(path string) error {
 	f := &d.Fleet
 	out := fileDay{Version: 1, Note: d.Note, Seed: d.Seed, Period: span(d.Period), Span: span(d.Span), Fleet: fileFleet{Planners: &f.Planners, Routers: f.Routers,
-		Plain: f.Plain, Groups: f.Groups, Nodes: f.Nodes, Cores: f.Cores, Work: span(f.Work), Clients: &f.Clients, Pause: span(f.Pause), Contract: f.Contract},
+		Plain: f.Plain, Groups: f.Groups, Nodes: f.Nodes, Cores: f.Cores, Work: span(f.Work), Clients: &f.Clients, Pause: span(f.Pause), Loads: f.Loads,
+		Reads: f.Reads, Uneven: f.Uneven, Contract: f.Contract},
 		Faults: []fileFault{}}
 	for _, x := range d.Faults {
 		out.Faults = append(out.Faults, fileFault{At: x.At.String(), For: span(x.For), Kind: x.Kind, Who: x.Who, Others: x.Others, Part: x.Part, Span: span(x.Span)})
@@ -136,7 +142,8 @@
 	u := Usual()
 	d := &Day{Seed: in.Seed, Note: in.Note, Period: read("/period", in.Period, usualPeriod), Fleet: Fleet{Planners: u.Planners, Routers: in.Fleet.Routers, Plain: in.Fleet.Plain,
 		Groups: or(in.Fleet.Groups, u.Groups), Nodes: or(in.Fleet.Nodes, u.Nodes), Cores: in.Fleet.Cores, Work: read("/fleet/work", in.Fleet.Work, u.Work),
-		Clients: u.Clients, Pause: read("/fleet/pause", in.Fleet.Pause, u.Pause), Contract: in.Fleet.Contract}}
+		Clients: u.Clients, Pause: read("/fleet/pause", in.Fleet.Pause, u.Pause), Loads: in.Fleet.Loads, Reads: in.Fleet.Reads, Uneven: in.Fleet.Uneven,
+		Contract: in.Fleet.Contract}}
 	if in.Fleet.Planners != nil {
 		d.Fleet.Planners = *in.Fleet.Planners
 	}
@@ -154,7 +161,7 @@
 		at := fmt.Sprintf("/faults/%d", i)
 		f := Fault{At: read(at+"/at", x.At, 0), For: read(at+"/for", x.For, 0), Kind: x.Kind, Who: x.Who, Others: x.Others, Part: x.Part, Span: read(at+"/span", x.Span, 0)}
 		most, what := d.Instances, "instance"
-		if f.Kind == Cold || f.Kind == Weak {
+		if f.Kind.ofNodes() {
 			most, what = d.Fleet.Groups*d.Fleet.Nodes, "node"
 		}
 		for _, w := range slices.Concat(f.Who, f.Others) {
@@ -176,9 +183,15 @@
 	return d, nil
 }
 
+// ofNodes tells whether Who are nodes.
+func (k Kind) ofNodes() bool { return k == Cold || k == Weak || k == Lie || k == Err }
+
+// OfNodes tells whether a fault befalls nodes, by their numbers.
+func (f *Fault) OfNodes() bool { return f.Kind.ofNodes() }
+
 // wrong is why a fault can't be played, if so.
 func (f *Fault) wrong() string {
-	whom := map[Kind]bool{Kill: true, Stop: true, Leave: true, Split: true, OneWay: true, Mute: true, Twin: true, Drain: true, Weak: true,
+	whom := map[Kind]bool{Kill: true, Stop: true, Leave: true, Split: true, OneWay: true, Mute: true, Twin: true, Drain: true, Weak: true, Lie: true, Err: true,
 		Slow: true, Garbage: true, Names: true}
 	switch {
 	case whom[f.Kind] && len(f.Who) == 0:
--- a/internal/lab/even/even.go
+++ b/internal/lab/even/even.go
@@ -55,10 +55,19 @@
 	Idle    float64 // time that a node had nothing while jobs waited at another of its group, as a part of all nodes' time
 	Wait    time.Duration
 	Jobs    int
+	Nodes   []Mean
+	Gap     time.Duration // the longest for which no job came to a node that could serve
 	// Of the time from a job's coming to a node until its answer: median, 99 %, longest.
 	Median, High, Most time.Duration
 }
 
+// Mean is what one node had.
+type Mean struct {
+	Name string
+	Held float64 // jobs in hand on average, against its capacity
+	Jobs int
+}
+
 // least is the mean load of a group, against capacity, below which a window says nothing of evenness.
 const least = 0.05
 
@@ -126,7 +135,7 @@
 	}
 	if total > 0 {
 		v.Idle /= total
-		v.Herding /= float64(to - from)
+		v.Herding /= float64(to-from) * float64(len(groups)) // of each group's time
 	}
 	v.times(nodes, from, to)
 	slices.SortFunc(v.Herds, func(a, b Herd) int { return cmp.Compare(a.From, b.From) })
@@ -263,6 +272,24 @@
 func (v *Verdict) times(nodes []Node, from, to int64) {
 	var took []int64
 	for i := range nodes {
+		mean := Mean{Name: nodes[i].Name}
+		for _, h := range nodes[i].windows(from, to, to-from) {
+			mean.Held = h / nodes[i].Capacity
+		}
+		for _, x := range nodes[i].Visits {
+			if x.Came >= from && x.Came < to {
+				mean.Jobs++
+			}
+		}
+		v.Nodes = append(v.Nodes, mean)
+		last := max(from, nodes[i].From)
+		for _, x := range nodes[i].Visits {
+			if x.Came > last && x.Came < to {
+				v.Gap = max(v.Gap, time.Duration(x.Came-last))
+				last = x.Came
+			}
+		}
+		v.Gap = max(v.Gap, time.Duration(min(to, nodes[i].To)-last))
 		for _, x := range nodes[i].Visits {
 			if x.Came >= from && x.Came < to && x.Ended != 0 {
 				took = append(took, x.Ended-x.Came)
@@ -283,6 +310,13 @@
 	for _, f := range v.Figures {
 		s += fmt.Sprintf("windows of %-6v peak over mean %.2f, coefficient of variation %.2f (chance alone %.2f), Jain's index %.3f\n", f.Window, f.Peak, f.CV, f.Expected, f.Jain)
 	}
-	return s + fmt.Sprintf("%d herds, the longest %v, %.2f %% of the time; nodes idle while jobs waited elsewhere %.2f %% of their time", len(v.Herds),
-		v.Longest.Round(time.Millisecond), 100*v.Herding, 100*v.Idle)
+	s += fmt.Sprintf("%d herds, the longest %v, %.2f %% of the time; nodes idle while jobs waited elsewhere %.2f %% of their time; no node without a job for over %v", len(v.Herds),
+		v.Longest.Round(time.Millisecond), 100*v.Herding, 100*v.Idle, v.Gap.Round(time.Millisecond))
+	if most := 60; len(v.Nodes) <= most {
+		s += "\nload against capacity by node:"
+		for _, n := range v.Nodes {
+			s += fmt.Sprintf(" %s %.2f", n.Name, n.Held)
+		}
+	}
+	return s
 }
--- a/internal/lab/evensim/evensim_test.go
+++ b/internal/lab/evensim/evensim_test.go
@@ -1,12 +1,98 @@
 package evensim
 
-import ("testing";"fmt")
+import (
+	"flag"
+	"testing"
+	"time"
 
-func TestLook(t *testing.T) {
-	for _, load := range []float64{0.6, 0.85} {
-		for _, p := range Policies {
-			r := New(Usual(100, load, p, 1)).Run()
-			fmt.Printf("== %v %.2f\n%v\n", p, load, r)
+	"sedgestream/internal/decide/share"
+)
+
+var seeds = flag.Uint64("even.seeds", 2, "of each figure")
+
+// play gives the mean coefficient of variation by window, and the results, over seeds.
+func play(routers int, load float64, p Policy, tune func(*Plan)) (cv [3]float64, rs []*Result) {
+	for s := range *seeds {
+		pl := Usual(routers, load, p, s)
+		if tune != nil {
+			tune(&pl)
+		}
+		r := New(pl).Run()
+		for i, f := range r.Even.Figures {
+			cv[i] += f.CV / float64(*seeds)
 		}
+		rs = append(rs, r)
+	}
+	return cv, rs
+}
+
+func part(rs []*Result, of func(r *Result) int) float64 {
+	n, all := 0, 0
+	for _, r := range rs {
+		n, all = n+of(r), all+r.Jobs
+	}
+	return float64(n) / float64(all)
+}
+
+// The same seed is the same to the last trip; another is another.
+func TestSeeds(t *testing.T) {
+	hash := func(seed uint64) uint64 { return New(Usual(30, 0.7, Digests, seed)).Run().Hash }
+	if hash(1) != hash(1) || hash(1) == hash(2) {
+		t.Error("a day is not what its seed says")
+	}
+}
+
+// Among equal nodes load is about as even as where one chooser sees all as late as the routers do, at each size; it takes few probes,
+// and few bytes that don't grow with the fleet.
+func TestEvenAtSizes(t *testing.T) {
+	words := map[int]float64{}
+	for _, n := range []int{30, 100, 300} {
+		late, _ := play(n, 0.85, Late, nil)
+		cv, rs := play(n, 0.85, Digests, nil)
+		t.Logf("%d routers: %.2f, late-seeing %.2f; %.1f probes and %.0f bytes a router and second", n, cv, late, rs[0].Probes, rs[0].Words)
+		if cv[0] > 1.6*late[0] || part(rs, func(r *Result) int { return r.Late }) > 0.01 || rs[0].Probes > 20 {
+			t.Errorf("%d routers: %.2f against %.2f, %v", n, cv, late, rs[0])
+		}
+		words[n] = rs[0].Words
+	}
+	if most := 10.0 * (wordBytes*2 + share.MostEntries*(entryBytes+shownBytes+2)); words[300] > most { // ten digests a second
+		t.Errorf("bytes a router and second: %v, more than %v", words, most)
+	}
+}
+
+// A node half as strong as the list says, one that says it holds nothing, and one that is both, don't draw the others' jobs, as
+// they do where routers go by what nodes say.
+func TestWrongNodes(t *testing.T) {
+	is := func(n int, _ time.Duration) bool { return n == 3 }
+	weak := func(n int, _ time.Duration) float64 {
+		if n == 3 {
+			return 0.5
+		}
+		return 1
+	}
+	for name, tune := range map[string]func(*Plan){
+		"weak":      func(p *Plan) { p.Strength = weak },
+		"lying":     func(p *Plan) { p.Lying = is },
+		"weak liar": func(p *Plan) { p.Strength, p.Lying = weak, is },
+		"erring":    func(p *Plan) { p.Erring = is },
+	} {
+		told, _ := play(100, 0.7, Words, tune)
+		cv, rs := play(100, 0.7, Digests, tune)
+		t.Logf("%s: %.2f, with words between routers %.2f", name, cv, told)
+		if cv[2] > max(0.9, 1.3*told[2]) || cv[0] > 1.1 || part(rs, func(r *Result) int { return r.Late + r.Failed }) > 0.02 {
+			t.Errorf("%s: %.2f, %v", name, cv, rs[0])
+		}
+	}
+}
+
+// Planners that are gone are missed, and nothing worse: routers go by what they know alone, and no herd stays.
+func TestDeafRouters(t *testing.T) {
+	cv, rs := play(100, 0.7, Digests, func(p *Plan) {
+		p.Deaf = func(_ int, at time.Duration) bool { return at > 3*time.Second }
+	})
+	alone, _ := play(100, 0.7, Module, nil)
+	t.Logf("%.2f, alone %.2f", cv, alone)
+	if cv[0] > 1.3*alone[0] || part(rs, func(r *Result) int { return r.Late + r.Failed }) > 0.01 {
+		t.Errorf("%.2f against %.2f, %v", cv, alone, rs[0])
 	}
 }
--- a/internal/lab/evensim/router.go
+++ b/internal/lab/evensim/router.go
@@ -115,7 +115,7 @@
 	j := r.jobs[p]
 	r.out[n]--
 	if r.meter != nil {
-		r.meter.Ended(w.now, n)
+		r.meter.Ended(w.now, n, e != balance.Done)
 	}
 	if j == nil {
 		return
@@ -147,7 +147,7 @@
 func (r *router) tell() {
 	w := r.w
 	w.do(int64(w.Period), r.tell)
-	parts := r.meter.Read(w.now, mark)
+	parts := r.meter.Read(w.now, func(n int, p *share.Part) { p.Mark, p.Group, p.Weight = mark(n), int64(w.nodes[n].group), 1 })
 	if w.Deaf != nil && w.Deaf(r.number, w.since()) {
 		return
 	}
@@ -161,7 +161,7 @@
 				e := &es[i]
 				n := w.unmark(e.Mark)
 				held, age := r.views.Heard(w.now, "p0", e)
-				r.b.Summed(w.now, n, held, age)
+				r.b.Summed(w.now, n, held, float64(e.Lean), age)
 				if s := e.Shown; s != nil {
 					rep := balance.Report{Given: true, Position: s.Position, Role: balance.Replica, Held: -1, Busy: float64(s.Busy)}
 					if s.Primary {
--- a/internal/lab/fleet/judge.go
+++ b/internal/lab/fleet/judge.go
@@ -11,6 +11,7 @@
 
 	"sedgestream/internal/decide/members"
 	"sedgestream/internal/lab/day"
+	"sedgestream/internal/lab/even"
 	"sedgestream/internal/standin"
 	"sedgestream/internal/words"
 )
@@ -23,9 +24,10 @@
 	Jobs     int     // answered
 	Excused  int     // lost with their router
 	Bounced  int
-	Drains   int     // that were told
-	Cold     float64 // the most that a young node got, as a part of its limit
-	Bytes    float64 // of datagrams, an instance and second
+	Drains   int           // that were told
+	Cold     float64       // the most that a young node got, as a part of its limit
+	Even     *even.Verdict // of replicas that work on a bounded number of jobs; nil where none do
+	Bytes    float64       // of datagrams, an instance and second
 	Words    float64
 	Found    []string // broken rules and promises
 }
--- a/internal/lab/fleet/load.go
+++ b/internal/lab/fleet/load.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"math"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
@@ -48,8 +50,11 @@
 		clients = r.ClientsOf(c.number)
 	}
 	groups := r.groups()
+	chance := rand.New(rand.NewPCG(r.Seed, uint64(c.number)))
+	every := time.Duration(float64(r.Every) * math.Exp(-r.Uneven*chance.NormFloat64()))
 	for i := range clients {
 		r.tasks.Add(1)
+		a := &asker{r: r, c: c, groups: groups, every: every, chance: rand.New(rand.NewPCG(r.Seed, uint64(c.number<<16|i+1)))}
 		go func() {
 			defer r.tasks.Done()
 			for n := c.number + i; ; {
@@ -68,15 +73,30 @@
 				if err != nil {
 					continue
 				}
-				n = r.converse(c, n, groups, sock)
+				n = a.converse(n, sock)
 				sock.Close()
 			}
 		}()
 	}
 }
 
+// asker is one client.
+type asker struct {
+	r      *Rig
+	c      *proc
+	groups []int
+	every  time.Duration
+	chance *rand.Rand
+}
+
+// pause is between an answer and the next job: exponential, as many clients together are.
+func (a *asker) pause() time.Duration {
+	return time.Duration(float64(a.every) * min(4, a.chance.ExpFloat64()))
+}
+
 // converse asks over one connection until it ends.
-func (r *Rig) converse(c *proc, n int, groups []int, sock net.Conn) int {
+func (a *asker) converse(n int, sock net.Conn) int {
+	r, c, groups := a.r, a.c, a.groups
 	sock.SetDeadline(time.Now().Add(time.Hour))
 	client := standin.NewClient(r.t, sock)
 	if !client.Greet() {
@@ -86,9 +106,12 @@
 		select {
 		case <-r.stop:
 			return n
-		case <-time.After(r.Every):
+		case <-time.After(a.pause()):
 		}
 		tariff, group := tariffs[n%len(tariffs)], groups[n/len(tariffs)%len(groups)]
+		if r.Reads {
+			tariff, group = "view", groups[a.chance.IntN(len(groups))]
+		}
 		query := standin.Change(tariff, int(hardLimit/time.Millisecond))
 		if tariff == "view" || tariff == "now" {
 			query = strings.Replace(standin.View(int(hardLimit/time.Millisecond)), "c=view", "c="+tariff, 1)
--- a/internal/lab/fleet/play.go
+++ b/internal/lab/fleet/play.go
@@ -69,14 +69,27 @@
 	close(r.stop)
 	r.tasks.Wait()
 	r.judge(v)
+	if len(r.Nodes) > 0 && r.Nodes[0].Cores() > 0 {
+		v.Even = r.Even(begun, last, func(n int) float64 { return r.strength(d, n) })
+	}
 	return v
 }
 
+// strength is a node's, for as long as most of the day.
+func (r *Rig) strength(d *day.Day, n int) float64 {
+	for _, f := range d.Faults {
+		if f.Kind == day.Weak && slices.Contains(f.Who, n) && (f.For == 0 || f.For > d.Span/2) {
+			return f.Part
+		}
+	}
+	return 1
+}
+
 // written is the day with who takes part, so that it can be played again from the file alone.
 func (r *Rig) written(d *day.Day) *day.Day {
 	w := *d
 	f := &w.Fleet
-	f.Planners, f.Routers, f.Plain, f.Clients, f.Pause = r.Planners, r.Routers, r.Plain, r.Clients, r.Every
+	f.Planners, f.Routers, f.Plain, f.Clients, f.Pause, f.Loads, f.Reads, f.Uneven = r.Planners, r.Routers, r.Plain, r.Clients, r.Every, r.Loads, r.Reads, r.Uneven
 	f.Groups = len(r.groups())
 	f.Nodes = len(r.Nodes) / max(1, f.Groups)
 	return &w
@@ -108,7 +121,7 @@
 		delete(r.on, k)
 	}
 	var procs []*proc
-	if f.Kind != day.Cold && f.Kind != day.Weak {
+	if !f.OfNodes() {
 		for _, n := range f.Who {
 			procs = append(procs, r.procs[n])
 		}
@@ -133,6 +146,14 @@
 		for _, n := range f.Who {
 			r.Nodes[n].Strength(map[bool]float64{true: f.Part, false: 1}[on])
 		}
+	case day.Lie:
+		for _, n := range f.Who {
+			r.Nodes[n].Lies(on)
+		}
+	case day.Err:
+		for _, n := range f.Who {
+			r.Nodes[n].Errs(on)
+		}
 	case day.Garbage, day.Names:
 		if on {
 			r.tasks.Add(1)
--- a/internal/lab/fleet/report.go
+++ b/internal/lab/fleet/report.go
@@ -134,6 +134,10 @@
 	}
 	b.WriteString("</svg>")
 	r.clients(&b, x, begin)
+	if v.Even != nil {
+		fmt.Fprintf(&b, "<h2>How evenly load lay on replicas</h2><pre>%s</pre>", html.EscapeString(v.Even.String()))
+		r.loads(&b, x, begin, end)
+	}
 	r.deaths(&b)
 	return os.WriteFile(path, b.Bytes(), 0o644)
 }
--- a/internal/lab/fleet/rig.go
+++ b/internal/lab/fleet/rig.go
@@ -42,6 +42,9 @@
 	// ClientsOf says how many clients a router has, by its number; nil: Clients each.
 	ClientsOf func(n int) int
 	Progress  func(line string) // is told what happens; nil: nobody is
+	Loads     bool              // routers tell planners of their trips
+	Reads     bool              // clients only read
+	Uneven    float64           // standard deviation of the logarithm of routers' traffic
 	Together  bool              // all start at the same moment, not some at a time
 	Absent    []int             // are not started before a fault of theirs is over
 }
@@ -204,8 +207,8 @@
 		list = append(list, fmt.Sprintf(`{"name": "p%d", "address": %q}`, p, address))
 	}
 	path := filepath.Join(r.Folder, fmt.Sprintf("tier-%d.json", n))
-	r.must(os.WriteFile(path, fmt.Appendf(nil, `{"version": 1, "fleet": %q, "term": %q, "period": %q, "planners": [%s], "members": {"period": %q, "forget": "1h"}}`,
-		r.fleetName(), r.Term, r.Term/8, strings.Join(list, ", "), r.Period), 0o600))
+	r.must(os.WriteFile(path, fmt.Appendf(nil, `{"version": 1, "fleet": %q, "term": %q, "period": %q, "planners": [%s], "members": {"period": %q, "forget": "1h"}%s}`,
+		r.fleetName(), r.Term, r.Term/8, strings.Join(list, ", "), r.Period, map[bool]string{true: `, "loads": {}`}[r.Loads]), 0o600))
 	if planner {
 		c.args = []string{"plan", "--tier", path, "--name", c.name, "--member-advertise", c.relay.Address}
 		c.env = os.Environ()
--- a/internal/lab/fleet/stage.go
+++ b/internal/lab/fleet/stage.go
@@ -84,7 +84,7 @@
 	f := &d.Fleet
 	fmt.Fprintf(s.Out, "starting %d planners and %d routers among %d groups of %d nodes; logs go to %s\n", f.Planners, f.Routers, f.Groups, f.Nodes, folder)
 	r := New(b, Plan{Program: s.Program, Planners: f.Planners, Routers: f.Routers, Plain: f.Plain, Nodes: Nodes(b, f), Contract: contract,
-		Period: d.Period, Term: termPeriods * d.Period, Clients: f.Clients, Every: f.Pause, Folder: folder, Seed: d.Seed,
+		Period: d.Period, Term: termPeriods * d.Period, Clients: f.Clients, Every: f.Pause, Folder: folder, Seed: d.Seed, Loads: f.Loads, Reads: f.Reads, Uneven: f.Uneven,
 		Progress: func(line string) { fmt.Fprintln(s.Out, line) }})
 	v := r.Play(d, grace)
 	report := s.Report
@@ -95,6 +95,9 @@
 		return err
 	}
 	fmt.Fprintf(s.Out, "\n%v\n", v)
+	if v.Even != nil {
+		fmt.Fprintf(s.Out, "\nload of replicas, by their ledgers: %v\n", v.Even)
+	}
 	if len(v.Found) > 0 {
 		fmt.Fprintf(s.Out, "the day, each process's log and the report are in %s\n", folder)
 		return ErrFound
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -8,6 +8,7 @@
 import (
 	"errors"
 	"fmt"
+	"hash/crc32"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -408,8 +409,16 @@
 func (s *Planner) show() *words.Show {
 	now := s.now()
 	v := &words.Show{Planner: s.post.Name, Members: s.member.Known()}
+	loads := map[uint32]*share.Entry{}
+	if s.loads.Routers(now) > 0 {
+		digest := s.loads.Digest(now, s.member.Routers())
+		for i := range digest {
+			loads[digest[i].Mark] = &digest[i]
+		}
+	}
 	s.board.Each(func(n plan.Notice) {
 		node := words.Node{Notice: n, Condemned: s.jury.Condemned(now, n.Node)}
+		node.Load = loads[crc32.ChecksumIEEE([]byte(n.Node))]
 		if p := s.pools[n.Node]; p != nil {
 			node.Holders, node.Pledged, node.Lent = p.Sums(now)
 		}
--- a/internal/standin/work.go
+++ b/internal/standin/work.go
@@ -48,6 +48,14 @@
 	return n
 }
 
+// Cores is how many jobs it works on at a time; 0: any number.
+func (n *Node) Cores() int {
+	if n.works == nil {
+		return 0
+	}
+	return n.works.Cores
+}
+
 // Strength has the node be so many times as strong as before; 1 as it was at first.
 func (n *Node) Strength(s float64) {
 	if w := n.works; w != nil {
--- a/internal/words/words.go
+++ b/internal/words/words.go
@@ -125,6 +125,8 @@
 	Holders   int         `msgpack:"h" json:"holders"` // lives that have asked for leases of it
 	Lent      int64       `msgpack:"l" json:"lent"`    // out at most
 	Pledged   int64       `msgpack:"p" json:"pledged"`
+	// Load is what all routers have there, as far as this planner was told; nil if it was not.
+	Load *share.Entry `msgpack:"e,omitempty" json:"load,omitempty"`
 }
 
 // ForwarderBelief is what a forwarder said that it believes.
