A router that hears nobody asks one other whether words pass before it tells all

In evensim, 300 routers and all words lost: 163 words a router and second at receivers, 6.4 where none is lost. Cause: speak in balance.go. Whoever heard nobody probed all near nodes and told all others at once, 300 routers within five fades, and again after ever longer gaps; without an echo each telling cost a datagram at each of 300 receivers. Change: who hears nobody asks one other router with nine bytes; only an answer makes it a teller, and a teller without an echo asks again first.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -160,9 +160,8 @@
 		r.giveUp(j, now, 0)
 		return
 	}
-	// A job waits a moment for news that is on its way: of the load of two members, where the router knows
-	// little and nobody tells it; and of positions, where no replica is known fresh enough. Else routers
-	// with few jobs, or all that start together, crowd some nodes and above all the primaries.
+	// A job waits a moment for news on its way: of the load of two members, where nobody tells a sparse router;
+	// of positions, where no replica is known fresh enough. Else routers crowd above all the primaries.
 	soon := now < j.taken+2*r.sweep
 	if soon && len(j.trips) == 0 && r.sparse() && !r.isTold(now) {
 		j.held = r.ask(j, 2-2*j.asked, r.fade/4, now)
@@ -232,10 +231,9 @@
 		if !r.near(m) {
 			score *= farther
 		}
-		// Laggards first, the one furthest behind before the others: it serves none but these reads, and a
-		// long read, which may stop its node's apply, stops it where that costs least. Guards against
-		// replicas lagging all in turn, whatever holds them up. It harms if the laggard is slow as well:
-		// hence only while its cores aren't all busy, or answers take less than half their contract time.
+		// Laggards first, the furthest behind before others: it serves none but these reads, and a long read that
+		// stops its node's apply costs least there. Guards against replicas lagging in turn. It harms if it is
+		// slow as well: hence only while its cores aren't all busy, or answers take under half their contract time.
 		if laggard {
 			score += float64(m.lag)
 		}
@@ -266,9 +264,9 @@
 func (r *Router) sparse() bool { return r.borne < tells*float64(r.span) }
 
 // fits tells whether the node can hold one more, of the given part of its room: its own, or where the router
-// has too few trips to learn that, one learnt from all nodes. A second trip takes only spare room. A client
-// that waits less than the contract time gets room by that, else its repeats crowd out patient ones. By lot
-// it ends up to twice as far at sparse routers: else all stop and begin together with each news.
+// has too few trips to learn that, one learnt from all. Second trips take only spare room. Clients that wait
+// less get less, else their repeats crowd out patient ones. By lot it ends up to twice as far at sparse
+// routers: else all stop and begin together with each news.
 func (r *Router) fits(m *node, j *job, part float64, now int64) bool {
 	t, room := &r.tariffs[j.tariff], m.room.size
 	if r.sparse() {
@@ -446,13 +444,6 @@
 	return share, max(want, least), least
 }
 
-// Lend has a young node sent so much work at most over the rule's span, until then; after that and until kept
-// a part of the own share. It moves shares about among routers, and all together send as much as alone.
-func (r *Router) Lend(n int, work, part float64, until, kept int64) {
-	m := &r.nodes[n]
-	m.lent, m.kept, m.lentUntil, m.keptUntil = work, part, until, kept
-}
-
 // Shun sets a replica aside until then, by what many routers have seen.
 func (r *Router) Shun(now int64, n int, until int64) {
 	if m := &r.nodes[n]; m.role != Primary {
@@ -460,7 +451,7 @@
 	}
 }
 
-// Seen tells what this router saw of a node by itself: that it set it aside, or had an answer in the span.
+// Seen tells what this router saw of a node: that it set it aside, or had an answer in the span.
 func (r *Router) Seen(now int64, n int, span int64) (failed, answered bool) {
 	m := &r.nodes[n]
 	return now < m.aside && m.failures >= distrust, m.served > 0 && now-m.served < span
@@ -677,9 +668,9 @@
 }
 
 // failed counts failures and, when there are too many, sets the node aside for a fixed time and a random
-// part, so that routers don't return together. A router with few trips takes one for three, as it would wait
-// minutes for those, and stays away for longer, as all routers' tries add up: guards against nodes that hang
-// or age among hundreds of routers. It harms when long jobs are taken for silence.
+// part, so that routers don't return together. A router with few trips takes one for three, and stays away
+// for longer, as all routers' tries add up: guards against nodes that hang or age among hundreds of routers.
+// It harms when long jobs are taken for silence.
 func (r *Router) failed(m *node, now int64, sparsely int) {
 	span := r.asideFor
 	if r.sparse() && m.role != Primary {
@@ -716,7 +707,7 @@
 }
 
 func (r *Router) listen(now int64) {
-	r.speaking, r.gap, r.tellAt, r.speakAt = false, 0, 0, now+r.fade+r.chance.below(4*r.fade)
+	r.speaking, r.echoed, r.gap, r.tellAt, r.speakAt = false, false, 0, 0, now+r.fade+r.chance.below(4*r.fade)
 }
 
 // speak asks all nodes in turn and tells the others, where many routers have few trips each: so that one
@@ -725,9 +716,14 @@
 	switch {
 	case !r.peers || !r.sparse():
 	case now >= r.speakAt:
-		// Without an echo it speaks ever less: guards against all routers speaking where messages are lost.
+		// Without an echo it only asks one other whether words pass, and ever less often: guards against all
+		// routers asking all nodes and telling all others where words are lost.
 		r.gap = min(max(2*r.gap, r.fade*3/4), 16*r.fade)
-		r.speaking, r.speakAt, r.tellAt, r.toldAt = true, now+r.gap, now+2*r.sweep, now
+		if r.speaking, r.speakAt = true, now+r.gap; !r.echoed {
+			r.knock(now)
+			return
+		}
+		r.echoed, r.tellAt, r.toldAt = false, now+2*r.sweep, now
 		for i := range r.nodes {
 			if m := &r.nodes[i]; r.open(m) && m.group >= 0 && r.near(m) {
 				r.probe(int32(i), now)
@@ -752,8 +748,11 @@
 
 // Heard takes in what another router tells. It only ever is news of nodes that the own list has named.
 func (r *Router) Heard(now int64, from int, words []byte) {
+	if r.asked(now, from, words) {
+		return
+	}
 	if r.toldAt = now; r.speaking {
-		r.gap, r.speakAt = 0, min(r.speakAt, r.speakAt-r.gap+r.period)
+		r.gap, r.echoed, r.speakAt = 0, true, min(r.speakAt, r.speakAt-r.gap+r.period)
 	}
 	if r.hearNews(now, words) && (!r.speaking || from < r.me) {
 		if r.listen(now); now >= r.echoAt {
@@ -833,11 +832,10 @@
 // passed is how many times over the node has answered as many trips as were there when this one left.
 func (m *node) passed(k *trip) float64 { return (m.answers - k.answers) / (k.among + 1) }
 
-// late looks after a job's trips, and tells whether one is worth waiting for: not at a node set aside,
-// and not overdue. A trip past its contract time strains its node at once; but where the node has since
-// passed it over with many other answers, the trip or its answer may be lost, which says nothing of
-// crowding and holds no room. Guards against silent nodes, lost messages and long queues; it harms by its
-// repeats, hence only into spare room.
+// late looks after a job's trips, and tells whether one is worth waiting for: not at a node set aside, and
+// not overdue. A trip past its contract time strains its node at once; but where the node has passed it over
+// with many other answers, it may be lost, which says nothing of crowding and holds no room. Guards against
+// silent nodes, lost messages and long queues; it harms by its repeats, hence only into spare room.
 func (r *Router) late(j *job, now int64) (waits bool) {
 	t := &r.tariffs[j.tariff]
 	overdue := max(int64(2*t.usual), t.ContractTime/2)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -408,6 +408,9 @@
 		for ; len(a.probes) > 0; a.probes = a.probes[1:] {
 			a.heard(a.probes[0], a.r.nodes[a.probes[0]].role, a.now-20*ms)
 		}
+		for ; len(a.knocks) > 0; a.knocks = a.knocks[1:] {
+			a.r.Heard(a.now, a.knocks[0], heading(a.now))
+		}
 	}
 	said := a.words[0]
 	c.Me = 2
--- a/balance/helpers_test.go
+++ b/balance/helpers_test.go
@@ -43,6 +43,7 @@
 	once    map[int]bool // has been primary, as far as anybody told
 	probes  []int
 	words   [][]byte // what it told the other routers
+	knocks  []int    // whom it asked whether words pass
 	watches int
 	log     []string
 	broken  string
@@ -192,8 +193,12 @@
 func (l *ledger) Alarm(after int64) { l.alarm = l.now + after }
 func (l *ledger) Probe(node int)    { l.say("probe %d", node); l.probes = append(l.probes, node) }
 func (l *ledger) Log(int, string)   {}
-func (l *ledger) Tell(_ int, words []byte) {
+func (l *ledger) Tell(to int, words []byte) {
 	l.say("tell %x", words)
+	if len(words) == headingLen+1 && to >= 0 { // whether words pass
+		l.knocks = append(l.knocks, to)
+		return
+	}
 	l.words = append(l.words, slices.Clone(words))
 }
 func (l *ledger) Watch() { l.say("watch"); l.watches++ }
--- a/balance/shape_test.go
+++ b/balance/shape_test.go
@@ -206,6 +206,41 @@
 	}
 }
 
+// Guards against all routers asking all nodes and telling all others where no words pass, or no longer do: whoever hears nobody asks
+// one other, ever less often, and begins to tell once that one has answered. Who is asked so answers.
+func TestNobodyHearsAnybody(t *testing.T) {
+	c := shop()
+	c.RoutersTalk, c.Me = true, 7
+	l := newLedger(c, 3)
+	l.list(node{listed: true}, node{}, node{})
+	begun := l.now
+	l.pass(100 * l.r.fade)
+	if len(l.words) > 0 || len(l.probes) > 0 || len(l.knocks) < 5 || len(l.knocks) > 20 || slices.ContainsFunc(l.knocks, func(to int) bool { return to < 0 || to >= 7 }) {
+		t.Errorf("in %v: told %d, asked %d nodes, and others %v", l.now-begun, len(l.words), len(l.probes), l.knocks)
+	}
+	for len(l.words) == 0 && l.now < begun+200*l.r.fade { // words pass again
+		if l.pass(c.Tick); len(l.knocks) > 0 {
+			l.r.Heard(l.now, l.knocks[0], heading(l.now))
+		}
+		for l.knocks = nil; len(l.probes) > 0; l.probes = l.probes[1:] {
+			l.heard(l.probes[0], Replica, l.now-20*ms)
+		}
+	}
+	if len(l.words) == 0 {
+		t.Fatal("it never tells again")
+	}
+	told := len(l.words)
+	l.pass(100 * l.r.fade) // and no longer
+	if len(l.words) > told+1 {
+		t.Errorf("it told %d times more, though nobody answered", len(l.words)-told)
+	}
+	words := len(l.words)
+	l.r.Heard(l.now, 2, append(heading(l.now), 0))
+	if len(l.words) != words+1 || len(l.words[words]) != headingLen {
+		t.Errorf("asked whether words pass it said %x", l.words[words:])
+	}
+}
+
 // Guards against a teller that takes few hearers for none, and against many that echo the same word: each that hears says so
 // at random moments, about once in four contract times.
 func TestHearersEcho(t *testing.T) {
--- a/balance/state.go
+++ b/balance/state.go
@@ -22,6 +22,7 @@
 	asideFor, grace, coldFor, span        int64
 	startShare, perSpan                   float64
 	peers, speaking, goneMayServe         bool
+	echoed                                bool // others heard what it said last
 	me                                    int
 	zone                                  int32
 	marks                                 map[uint32][]int32
@@ -313,6 +314,13 @@
 	return held * max(0, 1-float64(now-at)/float64(fade))
 }
 
+// Lend has a young node sent so much work at most over the rule's span, until then; after that and until kept
+// a part of the own share. It moves shares about among routers, and all together send as much as alone.
+func (r *Router) Lend(n int, work, part float64, until, kept int64) {
+	m := &r.nodes[n]
+	m.lent, m.kept, m.lentUntil, m.keptUntil = work, part, until, kept
+}
+
 // noted takes in evidence of a node's role and position, true at the time given: an old report never
 // outdoes a newer answer.
 func (m *node) noted(now int64, role Role, position, at int64) {
--- a/balance/words.go
+++ b/balance/words.go
@@ -37,6 +37,20 @@
 		Busy: float64(words[7]) / allBusy}
 }
 
+// knock asks one other router whether words pass.
+func (r *Router) knock(now int64) {
+	r.out.Tell(int(r.chance.below(int64(max(r.me, 2)))), append(heading(now), 0))
+}
+
+// asked answers one that asks whether words pass, and tells whether that was all.
+func (r *Router) asked(now int64, from int, words []byte) bool {
+	if len(words) != headingLen+1 {
+		return false
+	}
+	r.out.Tell(from, heading(now))
+	return true
+}
+
 // tellNews tells all other routers of the nodes that this one had reports of within the period.
 func (r *Router) tellNews(now int64) {
 	words := heading(now)
--- a/internal/lab/evensim/evensim.go
+++ b/internal/lab/evensim/evensim.go
@@ -58,6 +58,8 @@
 	Erring, Lying func(n int, at time.Duration) bool
 	// Rate is how much of its usual traffic a router has; nil: 1.
 	Rate func(router int, at time.Duration) float64
+	// Lost is the part of words between routers that get lost.
+	Lost float64
 	// Deaf routers hear no planner for a while.
 	Deaf func(router int, at time.Duration) bool
 }
@@ -71,7 +73,8 @@
 	Bounced int
 	Failed  int
 	Probes  float64 // a router and second
-	Words   float64 // bytes of reports and digests, a router and second
+	Words   float64 // bytes of reports, digests and words between routers, a router and second
+	Told    float64 // words between routers, at each receiver, a router and second
 	Hash    uint64
 	Took    time.Duration
 }
@@ -91,6 +94,7 @@
 	res     Result
 	bytes   float64
 	probes  int
+	told    int
 	sentAt  []int64 // of the late-seeing chooser's trips, by node: ring of those under way
 }
 
@@ -209,6 +213,7 @@
 	r.Even = even.Measure(nodes, end-int64(w.Span), end)
 	secs := (w.Warm + w.Span).Seconds()
 	r.Probes, r.Words = float64(w.probes)/float64(w.Routers)/secs, w.bytes/float64(w.Routers)/secs
+	r.Told = float64(w.told) / float64(w.Routers) / secs
 	r.Hash, r.Took = w.hash.Sum64(), time.Since(begun)
 	return r
 }
--- a/internal/lab/evensim/evensim_test.go
+++ b/internal/lab/evensim/evensim_test.go
@@ -96,3 +96,17 @@
 		t.Errorf("%.2f against %.2f, %v", cv, alone, rs[0])
 	}
 }
+
+// Where no words pass between routers they hardly say any: all asking all nodes and telling all others cost them more than the rest
+// of a bad day.
+func TestNobodyHearsAnybody(t *testing.T) {
+	told := map[float64]float64{}
+	for _, lost := range []float64{0, 1} {
+		_, rs := play(100, 0.6, Words, func(p *Plan) { p.Lost, p.Mean, p.Span = lost, 60*time.Millisecond, 10*time.Second })
+		told[lost] = rs[0].Told
+		t.Logf("%.0f %% of words lost: %.2f told and %.1f probes a router and second", 100*lost, rs[0].Told, rs[0].Probes)
+	}
+	if told[1] > 2 || told[0] > 10 {
+		t.Errorf("words at each receiver a second: %v", told)
+	}
+}
--- a/internal/lab/evensim/router.go
+++ b/internal/lab/evensim/router.go
@@ -242,6 +242,10 @@
 	for _, o := range w.routers {
 		if o != r && (to < 0 || o.number == to) {
 			w.bytes += float64(len(text))
+			w.told++
+			if w.chance.Float64() < w.Lost {
+				continue
+			}
 			w.do(w.way(), func() { o.b.Heard(w.now, r.number, text) })
 		}
 	}
