--- a/balance/balance.go
+++ b/balance/balance.go
@@ -253,7 +253,7 @@
 // pull is the design's weight / (1 + trips). Sparse routers all know the same old news, and would crowd the
 // emptiest node till the next: they draw lots in proportion, and reckon with trips that no news show yet.
 func (r *Router) pull(m *node, now int64) float64 {
-	weight, crowd := m.weight*r.warmth(m, now), r.crowd(m, now)
+	weight, crowd := m.strength(now, r.fade)*r.warmth(m, now), r.crowd(m, now)
 	if !r.sparse() {
 		return weight / (1 + crowd)
 	}
@@ -293,8 +293,8 @@
 // what the node showed last, which fades. A node that shows too little is told by its strain.
 func (r *Router) crowd(m *node, now int64) float64 {
 	own := m.held + m.ghosts
-	if age := float64(now-m.shownAt) / float64(r.fade); r.sparse() && age < 1 {
-		return max(own, m.shown*(1-age))
+	if r.sparse() {
+		own = max(own, m.load(now, r.fade))
 	}
 	return own
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -166,6 +166,16 @@
 	return s.members.Holds(s.now())
 }
 
+// Routers are how many of those that may be sending heed planners; 0 while that is not known.
+func (s *Instance) Routers() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.members.Holds(s.now()).Senders == 0 {
+		return 0
+	}
+	return s.members.Sending(members.Forwarder)
+}
+
 // Known is everyone that this instance knows of.
 func (s *Instance) Known() []members.Known {
 	s.mu.Lock()
@@ -205,7 +215,12 @@
 	now := s.now()
 	f := &words.Fleet{Self: s.members.Self(), View: s.members.View(), Holds: s.members.Holds(now), All: s.members.All(now),
 		Strain: s.members.Strain(), Tally: s.tally, Uptime: int64(time.Since(s.start))}
-	f.View.Members = s.view.Members
+	if f.View.Members = s.view.Members; len(f.View.Members) > words.FleetRecords {
+		f.View.Members = f.View.Members[:words.FleetRecords]
+	}
+	if f.Beyond = max(0, len(f.All)-words.FleetRecords); f.Beyond > 0 {
+		f.All = f.All[:words.FleetRecords]
+	}
 	if o, stands := s.members.Other(); stands {
 		o.Since, o.Last = now-o.Since, now-o.Last
 		f.Other = &o
