--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test race lint fuzz run measure-terms measure-members fleet
+.PHONY: build test race lint fuzz run measure-terms measure-members fleet even starts
 
 build:
 	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
@@ -40,6 +40,15 @@
 		-fleet.faults $${FAULTS:-10} -fleet.period $${PERIOD:-1s}
 	go test -count=1 -v -timeout 1h ./internal/lab/membersim -sim.seeds $${SEEDS:-200}
 
+# Even load among many processes and more nodes than in CI: ROUTERS=300 NODES=15 make even; then a day by every way to choose.
+even: build
+	go test -count=1 -v -timeout 1h -run EvenLoad ./cmd/sedgestream -even.routers $${ROUTERS:-300} -even.nodes $${NODES:-15}
+	bin/sedgestream lab even docs/days/even.json --processes
+
+# 300 members that start at the same moment.
+starts:
+	go test -count=1 -v -timeout 1h -run StartTogether ./cmd/sedgestream -start.routers $${ROUTERS:-297}
+
 # One router by the configuration that ROUTER_CONFIG names; see README.md.
 run: build
 	exec bin/sedgestream
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -134,6 +134,8 @@
 	r.rouse(now)
 	if r.purse += probing; !r.sparse() && r.check || r.isTold(now) {
 		r.purse -= probing * (1 - quick/2)
+	} else if r.peers && r.sparse() { // all that would tell are silent, and all ask
+		r.purse -= probing / 2
 	}
 	r.purse = min(r.purse, float64(len(r.group(g).members)))
 	*j = job{place: p, live: true, tariff: int32(t), group: int32(g), trips: j.trips[:0],
@@ -763,9 +765,6 @@
 	r.rouse(now)
 }
 
-// near tells whether the node is in the router's own zone, as all are where no zone is said.
-func (r *Router) near(m *node) bool { return r.zone < 0 || m.zone == r.zone }
-
 // Probed takes in a probe's result.
 func (r *Router) Probed(now int64, n int, ok bool, rep Report) {
 	m := &r.nodes[n]
--- a/balance/shape_test.go
+++ b/balance/shape_test.go
@@ -206,6 +206,36 @@
 	}
 }
 
+// Guards against hundreds of routers that each pay for two probes a job while nobody tells any of them: where others would tell,
+// one has to do.
+func TestSilencePaysForOneProbe(t *testing.T) {
+	probes := map[bool]int{}
+	for _, talk := range []bool{false, true} {
+		c := shop()
+		c.RoutersTalk, c.Me = talk, 4
+		l := newLedger(c, 8)
+		l.list(node{listed: true}, node{}, node{}, node{}, node{}, node{}, node{}, node{})
+		for range 60 {
+			l.take(0, 0, 300*ms, 0)
+			l.r.borne = 0
+			l.pass(3 * l.r.fade / 4)
+			for ; len(l.probes) > 0; l.probes = l.probes[1:] {
+				l.heard(l.probes[0], Replica, l.now)
+				probes[talk]++
+			}
+			for i := 0; i < len(l.trips); i++ {
+				if l.trips[i].open {
+					l.end(i, Done, Note{Position: l.now}, Report{Held: -1})
+					i = -1
+				}
+			}
+		}
+	}
+	if probes[true] > 60+8 || probes[false] < 60+20 {
+		t.Errorf("probes for 60 jobs: %d, and %d where routers don't talk", probes[true], probes[false])
+	}
+}
+
 // Guards against all routers asking all nodes and telling all others where no words pass, or no longer do: whoever hears nobody asks
 // one other, ever less often, and begins to tell once that one has answered. Who is asked so answers.
 func TestNobodyHearsAnybody(t *testing.T) {
--- a/balance/state.go
+++ b/balance/state.go
@@ -305,6 +305,9 @@
 	}
 }
 
+// near tells whether the node is in the router's own zone, as all are where no zone is said.
+func (r *Router) near(m *node) bool { return r.zone < 0 || m.zone == r.zone }
+
 // load is how many trips a node is known to hold, by the newest that others or itself have said, which fades.
 func (m *node) load(now, fade int64) float64 {
 	held, at := m.shown, m.shownAt
--- a/cmd/sedgestream/hardcases_test.go
+++ b/cmd/sedgestream/hardcases_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"flag"
 	"os"
 	"slices"
 	"testing"
@@ -148,6 +149,21 @@
 		Period: hardPeriod, Term: 4 * hardPeriod, Clients: 1, Every: every, Folder: t.TempDir(), Seed: 1, Absent: c.absent})
 }
 
+var startRouters = flag.Int("start.routers", 60, "routers that start together")
+
+// All start within the same moment: they become one fleet with one view, and none is called failed on the way.
+func TestStartTogether(t *testing.T) {
+	begun := time.Now()
+	nodes := []*standin.Node{standin.NewNode(t, "source"), standin.NewNode(t, "copy")}
+	r := fleet.New(t, fleet.Plan{Program: os.Args[0], Env: []string{asRouter + "=1"}, Planners: 3, Routers: *startRouters, Nodes: nodes, Contract: tierContract,
+		Period: time.Second, Term: 4 * time.Second, Folder: t.TempDir(), Seed: 1, Together: true})
+	v := r.Play(&day.Day{Seed: 1, Period: time.Second}, 120)
+	t.Logf("%v; %v from the first start", v, time.Since(begun).Round(100*time.Millisecond))
+	if len(v.Found) > 0 || v.WrongFor > 0 {
+		t.Error("one was called failed, or worse")
+	}
+}
+
 // A flood of names that nobody has takes bounded memory, and clients are served all the while.
 func TestMadeUpNames(t *testing.T) {
 	t.Parallel()
--- /dev/null
+++ b/internal/lab/day/day_test.go
@@ -0,0 +1,65 @@
+package day
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A day that was written is read as it was, whatever its faults; one drawn from a seed is the same each time.
+func TestWrittenDays(t *testing.T) {
+	all := []Kind{Kill, Stop, Leave, Split, OneWay, Loss, Late, Double, Twin, Drain, Cold, Slow, Mute, Throttle, Old, Garbage}
+	for seed := range uint64(40) {
+		d := Draw(seed, 12, 3, 200*time.Millisecond, 8, all...)
+		if !reflect.DeepEqual(d, Draw(seed, 12, 3, 200*time.Millisecond, 8, all...)) {
+			t.Fatal("the same seed is another day")
+		}
+		d.Fleet = Usual()
+		d.Fleet.Routers, d.Fleet.Loads, d.Fleet.Uneven, d.Fleet.Clients, d.Note = 9, true, 0.5, 0, "a note"
+		path := filepath.Join(t.TempDir(), "day.json")
+		if err := d.Write(path); err != nil {
+			t.Fatal(err)
+		}
+		got, err := Read(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !reflect.DeepEqual(got, d) {
+			t.Fatalf("seed %d: read as\n%+v\nwritten as\n%+v", seed, got, d)
+		}
+	}
+}
+
+// All faults of a file are told at once, each with its place.
+func TestBadDays(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "day.json")
+	os.WriteFile(path, []byte(`{
+ "version": 1,
+ "period": "1ms",
+ "fleet": {"routers": 3, "planners": 1, "plain": 4},
+ "faults": [
+  {"at": "1s", "kind": "kill"},
+  {"at": "1s", "kind": "kill", "who": [4]},
+  {"at": "1s", "kind": "oneway", "who": [1]},
+  {"at": "1s", "kind": "loss", "part": 2},
+  {"at": "1s", "kind": "weak", "who": [4]}
+ ]
+}`), 0o600)
+	_, err := Read(path)
+	if err == nil {
+		t.Fatal("it was taken")
+	}
+	for _, want := range []string{":3:", "shorter than 10ms", ":4:", "4 of 3 routers", ":6:", "needs to know who", ":7:", "instance 4 of 4", ":8:", "needs others", ":9:",
+		"a part of 2", ":10:", "node 4 of 4", "above 0"} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("%q is not told:\n%v", want, err)
+		}
+	}
+	os.WriteFile(path, []byte(`{"version": 1, "fleet": {"routers": 3}, "faults": [{"at": "soon", "kind": "rain"}], "wheather": 1}`), 0o600)
+	if _, err = Read(path); err == nil || strings.Count(err.Error(), "\n") < 2 {
+		t.Errorf("%v", err)
+	}
+}
