Routers that no planner hears add up a sample of what others say of their trips

Cause: who heard no planner fell back to what nodes say: a weak node that says it holds nothing drew everybody's jobs again. Digests scale by how much of what was said counts yet. Hard case among processes: nobody adds up the load.

--- a/cmd/sedgestream/hardcases_test.go
+++ b/cmd/sedgestream/hardcases_test.go
@@ -23,6 +23,7 @@
 	calm   bool
 	absent []int // not there at the start
 	light  bool  // a client asks once a second
+	loads  bool  // planners add up the load
 	// also is what has to hold beside the rules and promises.
 	also func(t *testing.T, r *fleet.Rig, v *fleet.Verdict)
 }
@@ -102,6 +103,16 @@
 	"all planners gone, then back at once": {faults: []day.Fault{{At: p(10), For: p(60), Kind: day.Kill, Who: []int{0, 1, 2}}, {At: p(25), For: p(3), Kind: day.Cold, Part: 0.3}}},
 	"a split while a node is cold and one drains": {faults: append(shift(10, 40, day.Split, span(2, 8)), day.Fault{At: p(12), For: p(3), Kind: day.Cold, Part: 0.9},
 		day.Fault{At: p(20), For: p(40), Kind: day.Drain, Who: []int{3, 9}, Part: thirdReplica})},
+	"nobody adds up the load": {loads: true, faults: []day.Fault{{At: p(10), For: p(50), Kind: day.Kill, Who: []int{0, 1, 2}}},
+		also: func(t *testing.T, r *fleet.Rig, _ *fleet.Verdict) {
+			for n := 3; n < 11; n++ {
+				// While planners are gone each tells two others once a period of reports; before and after that nobody.
+				f, err := r.Ask(n)
+				if err != nil || f.Tally.LoadsIn < 20 || f.Tally.LoadsOut < 50 || f.Tally.LoadsOut > 2*2*120 {
+					t.Errorf("instance %d: %v %+v", n, err, f)
+				}
+			}
+		}},
 	"thirty killed at the same moment": {routers: 42, light: true, faults: shift(10, 40, day.Kill, span(12, 42))},
 }
 
@@ -146,7 +157,7 @@
 		every = 300 * time.Millisecond
 	}
 	return fleet.New(t, fleet.Plan{Program: os.Args[0], Env: []string{asRouter + "=1"}, Planners: 3, Routers: c.routers, Plain: 1, Nodes: nodes, Contract: tierContract,
-		Period: hardPeriod, Term: 4 * hardPeriod, Clients: 1, Every: every, Folder: t.TempDir(), Seed: 1, Absent: c.absent})
+		Period: hardPeriod, Term: 4 * hardPeriod, Clients: 1, Every: every, Folder: t.TempDir(), Seed: 1, Absent: c.absent, Loads: c.loads})
 }
 
 var startRouters = flag.Int("start.routers", 60, "routers that start together")
--- a/cmd/sedgestream/lab.go
+++ b/cmd/sedgestream/lab.go
@@ -74,6 +74,7 @@
 
 type labEven struct {
 	stage
+	Sizes     bool   `help:"Play it at many sizes and loads instead, from 10 to 3,000 routers; some minutes."`
 	File      string `arg:"" name:"day" help:"File of the day; sedgestream lab schema has its form."`
 	Processes bool   `help:"Play it among processes, too."`
 }
@@ -87,6 +88,10 @@
 		desk := advise.Desk{Out: os.Stdout, Err: os.Stderr, Env: os.Getenv}
 		return desk.Faults(err)
 	}
+	if l.Sizes {
+		evensim.Sizes(os.Stdout, d.Seed)
+		return nil
+	}
 	evensim.Compare(os.Stdout, d)
 	if !l.Processes {
 		return nil
--- a/internal/decide/members/members.go
+++ b/internal/decide/members/members.go
@@ -485,6 +485,14 @@
 	return ps
 }
 
+// Some draws the addresses of different live others of a kind, so many at most.
+func (m *Members) Some(k Kind, n int) (addresses []string) {
+	for _, p := range m.some(n, func(p *peer) bool { return p.Kind != k || p.Health != Alive }) {
+		addresses = append(addresses, p.Address)
+	}
+	return addresses
+}
+
 // log2 is the logarithm to the base of two, rounded up, of those that are there; 1 at least.
 func (m *Members) log2() int { return max(1, bits.Len(uint(len(m.ring)))) }
 
--- a/internal/decide/share/share.go
+++ b/internal/decide/share/share.go
@@ -150,6 +150,7 @@
 // Ledger is a planner's account of what routers say.
 type Ledger struct {
 	period int64 // ns between two of a router's words
+	scale  float64
 	of     map[uint64]*says
 	nodes  map[uint32]*total
 	made   int64
@@ -193,12 +194,30 @@
 	rework = 0.5 // between two digests
 )
 
-// mostScale bounds how much of the load may be supplied for routers that are there and were not heard.
-const mostScale = 4.0
+// Bounds on how much of the load may be supplied for routers that are there and were not heard: by a planner, that hears each of
+// them or is cut off from a part, and by a router that hears but a sample.
+const (
+	mostScale   = 4.0
+	sampleScale = 64.0
+)
+
+// Tells is how many others a router tells its own part once a period, while no planner hears it. Each then hears as many on average:
+// over the periods for which words count, a sample of some fifteen.
+const Tells = 2
+
+// Alone tells whether a router has to go by what others like it say: no planner's digest has come for a term.
+func Alone(now, digest, term int64) bool { return now-digest > term }
 
 // NewLedger adds up words that come once in a period.
 func NewLedger(period int64) *Ledger {
-	return &Ledger{period: period, of: map[uint64]*says{}, nodes: map[uint32]*total{}}
+	return &Ledger{period: period, scale: mostScale, of: map[uint64]*says{}, nodes: map[uint32]*total{}}
+}
+
+// NewSample adds up what a router hears of others while no planner does it for all: some of them, once in a while.
+func NewSample(period int64) *Ledger {
+	l := NewLedger(period)
+	l.scale = sampleScale
+	return l
 }
 
 // Heard takes in what a router says; its life tells routers apart.
@@ -264,7 +283,7 @@
 		t.rate, t.fails, t.age, t.routers = 0, 0, 0, 0
 		t.was, t.held = t.held, 0
 	}
-	heard := 0
+	heard := 0.0
 	for _, life := range slices.Sorted(maps.Keys(l.of)) { // in one order, as sums of floats depend on it
 		s := l.of[life]
 		age := now - s.at
@@ -273,9 +292,7 @@
 			delete(l.of, life)
 			continue
 		}
-		if age <= fresh*l.period {
-			heard++
-		}
+		heard += w
 		for _, p := range s.parts {
 			if t := l.nodes[p.Mark]; t != nil {
 				held := w * float64(p.Held)
@@ -288,8 +305,8 @@
 		}
 	}
 	scale := 1.0
-	if heard > 0 && senders > heard {
-		scale = min(mostScale, float64(senders)/float64(heard))
+	if heard > 0 {
+		scale = min(l.scale, max(1, float64(senders)/heard))
 	}
 	for mark, t := range l.nodes {
 		if t.held > 0 {
--- a/internal/decide/share/share_test.go
+++ b/internal/decide/share/share_test.go
@@ -124,6 +124,27 @@
 	}
 }
 
+// A sample of what others say, each heard once in a while, stands for them all.
+func TestSample(t *testing.T) {
+	l, now := NewSample(100*ms), int64(1e12)
+	const routers = 100
+	for p := range 60 {
+		now += l.period
+		for k := range Tells {
+			r := (p*Tells + k*37) % routers
+			l.Heard(now, uint64(r+1), []Part{{Mark: 1, Held: 0.3, Sent: 1, Weight: 1}})
+		}
+		l.Digest(now, routers)
+	}
+	l.made = 0
+	if l.Digest(now, routers); math.Abs(l.nodes[1].held-30) > 3 {
+		t.Errorf("a sample of %d gives %v, not 30", len(l.of), l.nodes[1].held)
+	}
+	if Alone(now, now-5, 10) || !Alone(now, now-11, 10) {
+		t.Error("alone at the wrong time")
+	}
+}
+
 // A digest has its bounds however many nodes there are, and each node comes in its turn.
 func TestDigestBounded(t *testing.T) {
 	l, now := NewLedger(100*ms), int64(1e12)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -32,6 +32,10 @@
 	Holds func() members.Holds
 	// Loads has it tell planners of its trips, and go by what they add up.
 	Loads bool
+	// Tell tells some other routers of this one's trips while no planner hears it, and Routers are how many there are that may be
+	// sending; nil without membership.
+	Tell    func(l *words.Loads, to int)
+	Routers func() int
 }
 
 // Links are a router's connections to planners.
@@ -48,6 +52,8 @@
 	holders map[string]*plan.Holder // by node
 	links   map[string]*link        // that are up, by planner
 	views   *share.Views            // of what planners added up; nil if that is not wanted
+	digest  int64                   // when a planner's last came
+	sample  *share.Ledger           // of what other routers say; nil while planners hear this one
 }
 
 // link is a connection to a planner.
@@ -187,6 +193,10 @@
 		}
 	}
 	if s.views != nil && len(a.Digest) > 0 {
+		if s.digest = now; s.sample != nil {
+			s.sample = nil
+			s.log.Info("planners add up the load again", zap.String("planner", name))
+		}
 		s.desk.Summed(a.Digest, func(e *share.Entry) (float64, int64) { return s.views.Heard(now, name, e) })
 	}
 	if s.post.Holds != nil && !s.post.Holds().Hints {
@@ -254,6 +264,7 @@
 	news := xxhash.Sum64(text)
 	if s.views != nil {
 		s.views.Forget(now)
+		s.alone(now, loads)
 	}
 	failing := slices.ContainsFunc(r.Saw, func(v words.NodeSaw) bool { return v.Failed })
 	for name, l := range s.links {
@@ -273,6 +284,33 @@
 	}
 }
 
+// others names what a router adds up of others' words itself, among planners.
+const others = ""
+
+// alone has the router go by what some others say of their trips, and tell some of its own, while no planner adds up all.
+func (s *Links) alone(now int64, loads []share.Part) {
+	if s.post.Tell == nil || !share.Alone(now, max(s.digest, s.born), int64(s.post.Term)) {
+		return
+	}
+	if s.sample == nil {
+		s.sample = share.NewSample(int64(s.post.Period))
+		s.log.Info("no planner adds up the load: other routers are asked for a sample")
+	}
+	s.sample.Heard(now, uint64(s.life), loads)
+	s.post.Tell(&words.Loads{Life: uint64(s.life), Parts: loads}, share.Tells)
+	es := s.sample.Digest(now, s.post.Routers())
+	s.desk.Summed(es, func(e *share.Entry) (float64, int64) { return s.views.Heard(now, others, e) })
+}
+
+// Heard takes in what another router says of its trips.
+func (s *Links) Heard(l *words.Loads) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.sample != nil && l.Life != uint64(s.life) {
+		s.sample.Heard(s.desk.Now(), l.Life, l.Parts)
+	}
+}
+
 // reached are the planners that answer this router and that are in its view, or in that of the planner that it heard last if it
 // has none, by name. One that has been silent for a term is not asked: its word would come too late.
 func (s *Links) reached(now int64, view []string) (names []string) {
--- a/internal/lab/evensim/compare.go
+++ b/internal/lab/evensim/compare.go
@@ -3,12 +3,40 @@
 import (
 	"fmt"
 	"io"
+	"runtime"
 	"text/tabwriter"
 	"time"
 
 	"sedgestream/internal/lab/day"
 )
 
+// Sizes has the module play with and without digests, and beside it the two choosers that see all, at many sizes and loads.
+func Sizes(out io.Writer, seed uint64) {
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "routers\tnodes\tload\twho chooses\t50 ms\t250 ms\t2 s\tlongest herd\tlate\tbounced\tprobes a router and second\tbytes\tmemory\ttook")
+	for _, n := range []int{10, 30, 100, 300, 1000, 3000} {
+		for _, load := range []float64{0.3, 0.6, 0.85, 0.95} {
+			if n > 300 && load != 0.85 {
+				continue
+			}
+			for _, p := range []Policy{Seeing, Late, Digests, Module, Own} {
+				pl := Usual(n, load, p, seed)
+				if pl.Mean = 20 * time.Millisecond; n > 300 {
+					pl.Span, pl.Warm = 2*time.Second, time.Second
+				}
+				r := New(pl).Run()
+				f := r.Even.Figures
+				part := func(k int) float64 { return 100 * float64(k) / float64(max(1, r.Jobs)) }
+				var mem runtime.MemStats
+				runtime.ReadMemStats(&mem)
+				fmt.Fprintf(t, "%d\t%d\t%.2f\t%s\t%.2f\t%.2f\t%.2f\t%v\t%.2f %%\t%.2f %%\t%.1f\t%.0f\t%d MB\t%v\n", n, pl.Groups*(pl.Nodes+1), load, p, f[0].CV, f[1].CV, f[2].CV,
+					r.Even.Longest.Round(time.Millisecond), part(r.Late), part(r.Bounced), r.Probes, r.Words, mem.Sys>>20, r.Took.Round(100*time.Millisecond))
+			}
+			t.Flush()
+		}
+	}
+}
+
 // Compare has each policy play a day in simulated time, and prints a table.
 func Compare(out io.Writer, d *day.Day) {
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
--- a/internal/lab/evensim/evensim.go
+++ b/internal/lab/evensim/evensim.go
@@ -93,9 +93,10 @@
 	hash    xxhash.Digest
 	res     Result
 	bytes   float64
+	marks   map[uint32]int // nodes by their marks
+	tariff  balance.Tariff
 	probes  int
 	told    int
-	sentAt  []int64 // of the late-seeing chooser's trips, by node: ring of those under way
 }
 
 type node struct {
@@ -164,6 +165,10 @@
 			w.nodes = append(w.nodes, node{group: g})
 		}
 	}
+	w.marks, w.tariff = map[uint32]int{}, contract(&p).Tariffs[0]
+	for n := range w.nodes {
+		w.marks[mark(n)] = n
+	}
 	total := 0.0
 	for n := range p.Routers {
 		r := &router{w: w, number: n, weight: math.Exp(p.Uneven * w.chance.NormFloat64())}
--- a/internal/lab/evensim/evensim_test.go
+++ b/internal/lab/evensim/evensim_test.go
@@ -85,13 +85,24 @@
 	}
 }
 
-// Planners that are gone are missed, and nothing worse: routers go by what they know alone, and no herd stays.
+// Planners that are gone are missed, and nothing worse: routers go by a sample of what others say, and no herd stays, not even at a
+// node that is weak and says that it holds nothing.
 func TestDeafRouters(t *testing.T) {
-	cv, rs := play(100, 0.7, Digests, func(p *Plan) {
-		p.Deaf = func(_ int, at time.Duration) bool { return at > 3*time.Second }
-	})
-	alone, _ := play(100, 0.7, Module, nil)
-	t.Logf("%.2f, alone %.2f", cv, alone)
+	is := func(n int, _ time.Duration) bool { return n == 3 }
+	wrong := func(p *Plan) {
+		p.Lying = is
+		p.Strength = func(n int, _ time.Duration) float64 { return map[bool]float64{true: 0.5, false: 1}[n == 3] }
+	}
+	deaf := func(p *Plan) { p.Deaf = func(_ int, at time.Duration) bool { return at > 3*time.Second } }
+	cv, rs := play(100, 0.7, Digests, func(p *Plan) { wrong(p); deaf(p) })
+	alone, _ := play(100, 0.7, Module, wrong)
+	t.Logf("weak liar: %.2f, alone %.2f", cv, alone)
+	if cv[2] > 0.6*alone[2] {
+		t.Errorf("weak liar: %.2f against %.2f alone", cv, alone)
+	}
+	cv, rs = play(100, 0.7, Digests, deaf)
+	alone, _ = play(100, 0.7, Module, nil)
+	t.Logf("%.2f, alone %.2f; %.0f bytes a router and second", cv, alone, rs[0].Words)
 	if cv[0] > 1.3*alone[0] || part(rs, func(r *Result) int { return r.Late + r.Failed }) > 0.01 {
 		t.Errorf("%.2f against %.2f, %v", cv, alone, rs[0])
 	}
--- a/internal/lab/evensim/router.go
+++ b/internal/lab/evensim/router.go
@@ -22,6 +22,7 @@
 	alarm  uint64
 	meter  *share.Meter
 	views  *share.Views
+	sample *share.Ledger // while it is deaf
 }
 
 type job struct {
@@ -58,12 +59,11 @@
 
 // unmark is the node of a mark.
 func (w *World) unmark(m uint32) int {
-	for n := range w.nodes {
-		if mark(n) == m {
-			return n
-		}
+	n, known := w.marks[m]
+	if !known {
+		panic(fmt.Sprint("evensim: no node has the mark ", m))
 	}
-	panic(fmt.Sprint("evensim: no node has the mark ", m))
+	return n
 }
 
 // gap is the time to the next job.
@@ -92,7 +92,7 @@
 	}
 	p := r.b.Seat()
 	r.jobs[p] = j
-	t := &contract(&w.Plan).Tariffs[0]
+	t := &w.tariff
 	r.b.Take(w.now, p, 0, g, t.HardLimit, 0, &balance.Terms{})
 }
 
@@ -125,7 +125,7 @@
 	if settled {
 		j.over = true
 		w.res.Done++
-		if took > contract(&w.Plan).Tariffs[0].ContractTime {
+		if took > w.tariff.ContractTime {
 			w.res.Late++
 		}
 	}
@@ -149,29 +149,54 @@
 	w.do(int64(w.Period), r.tell)
 	parts := r.meter.Read(w.now, func(n int, p *share.Part) { p.Mark, p.Group, p.Weight = mark(n), int64(w.nodes[n].group), 1 })
 	if w.Deaf != nil && w.Deaf(r.number, w.since()) {
+		r.alone(parts)
 		return
 	}
+	r.sample = nil
 	w.bytes += sizeOf(parts, nil)
 	w.do(w.way(), func() {
 		w.ledger.Heard(w.now, uint64(r.number+1), parts)
 		es := w.ledger.Digest(w.now, 0)
 		w.bytes += sizeOf(nil, es)
+		w.do(w.way(), func() { r.take("p0", es) })
+	})
+}
+
+// take takes in a digest.
+func (r *router) take(from string, es []share.Entry) {
+	w := r.w
+	for i := range es {
+		e := &es[i]
+		n := w.unmark(e.Mark)
+		held, age := r.views.Heard(w.now, from, e)
+		r.b.Summed(w.now, n, held, float64(e.Lean), age)
+		if s := e.Shown; s != nil {
+			rep := balance.Report{Given: true, Position: s.Position, Role: balance.Replica, Held: -1, Busy: float64(s.Busy)}
+			if s.Primary {
+				rep.Role = balance.Primary
+			}
+			r.b.Shows(w.now, n, rep)
+		}
+	}
+}
+
+// alone has the router go by what some others say, as package forward does.
+func (r *router) alone(parts []share.Part) {
+	w := r.w
+	if r.sample == nil {
+		r.sample = share.NewSample(int64(w.Period))
+	}
+	r.sample.Heard(w.now, uint64(r.number+1), parts)
+	for range share.Tells {
+		o := w.routers[w.chance.IntN(len(w.routers))]
+		w.bytes += sizeOf(parts, nil)
 		w.do(w.way(), func() {
-			for i := range es {
-				e := &es[i]
-				n := w.unmark(e.Mark)
-				held, age := r.views.Heard(w.now, "p0", e)
-				r.b.Summed(w.now, n, held, float64(e.Lean), age)
-				if s := e.Shown; s != nil {
-					rep := balance.Report{Given: true, Position: s.Position, Role: balance.Replica, Held: -1, Busy: float64(s.Busy)}
-					if s.Primary {
-						rep.Role = balance.Primary
-					}
-					r.b.Shows(w.now, n, rep)
-				}
+			if o != r && o.sample != nil {
+				o.sample.Heard(w.now, uint64(r.number+1), parts)
 			}
 		})
-	})
+	}
+	r.take("", r.sample.Digest(w.now, w.Routers))
 }
 
 // Submit implements balance.Outside.
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -53,6 +53,7 @@
 
 	mu       sync.Mutex
 	members  *members.Members
+	loads    func(*words.Loads) // takes in what other routers say of their trips; nil: nobody does
 	alarm    *time.Timer
 	view     members.View
 	viewed   func(members.View)
@@ -118,6 +119,10 @@
 		if err != nil {
 			continue // of a datagram of its own that nobody took
 		}
+		if words.IsLoads(buf[:n]) {
+			s.takeLoads(buf[:n])
+			continue
+		}
 		w, err := words.ReadDatagram(buf[:n], s.mark)
 		s.mu.Lock()
 		s.tally.WordsIn++
@@ -176,6 +181,51 @@
 	return s.members.Sending(members.Forwarder)
 }
 
+// Loads has what other routers say of their trips be taken in.
+func (s *Instance) Loads(take func(*words.Loads)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loads = take
+}
+
+// TellLoads tells some other forwarders, drawn anew, of this one's trips.
+func (s *Instance) TellLoads(l *words.Loads, to int) {
+	text, err := words.AppendLoads(l, s.mark)
+	if err != nil {
+		s.log.Error("loads that can't be written", zap.Error(err))
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, address := range s.members.Some(members.Forwarder, to) {
+		if at, known := (outside{s}).resolve(address); known {
+			s.tally.LoadsOut++
+			s.tally.BytesOut += int64(len(text))
+			s.sock.WriteToUDPAddrPort(text, at)
+		}
+	}
+}
+
+// takeLoads takes in such a datagram.
+func (s *Instance) takeLoads(text []byte) {
+	l, err := words.ReadLoads(text, s.mark)
+	s.mu.Lock()
+	s.tally.BytesIn += int64(len(text))
+	take := s.loads
+	switch {
+	case errors.Is(err, words.ErrFleet):
+		s.tally.Strange++
+	case err != nil:
+		s.tally.Spoilt++
+	default:
+		s.tally.LoadsIn++
+	}
+	s.mu.Unlock()
+	if err == nil && take != nil {
+		take(l)
+	}
+}
+
 // Known is everyone that this instance knows of.
 func (s *Instance) Known() []members.Known {
 	s.mu.Lock()
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -175,9 +175,15 @@
 		if s.files.Forward {
 			post := forward.Post{Name: p.Name, Planners: tier.Planners, Term: tier.Term, Period: tier.Period, Loads: tier.Loads}
 			if s.member != nil {
-				post.Holds = s.member.Holds
+				post.Holds, post.Routers = s.member.Holds, s.member.Routers
+				if tier.Loads {
+					post.Tell = s.member.TellLoads
+				}
 			}
 			s.links = forward.New(post, s.desk, s.log)
+			if s.member != nil && tier.Loads {
+				s.member.Loads(s.links.Heard)
+			}
 		}
 	}
 	s.list = list.New(p.Discovery, p.Known, time.Duration(c.ConnectTimeout), s.desk, s.log)
--- a/internal/words/member.go
+++ b/internal/words/member.go
@@ -73,7 +73,9 @@
 	Exchanges  int64 `msgpack:"e" json:"exchanges"`
 	PieceBytes int64 `msgpack:"p" json:"piece_bytes"` // sent and got in exchanges
 	Spoilt     int64 `msgpack:"x" json:"spoilt"`      // words that were none of ours
-	Strange    int64 `msgpack:"z" json:"strange"`     // of another fleet
+	LoadsOut   int64 `msgpack:"lo" json:"loads_out"`  // words on its trips, to other routers
+	LoadsIn    int64 `msgpack:"li" json:"loads_in"`
+	Strange    int64 `msgpack:"z" json:"strange"` // of another fleet
 }
 
 // Off is an operator's word that a member goes: this instance itself if it has the name, else one that has failed and won't
