Sums don't stand for positions: routers told of loads ask for these as before

Cause: being told what all have counted as being told news (toldAt in Summed), which a sixteenth of a probe a job pays for: with 208 nodes and 64 in a digest, routers knew too few replicas to be fresh and crowded on those. Change: Summed notes its own moment (summedAt), and only asking for load heeds it (place in balance.go). The router of number 0 asks number 1 whether words pass, not itself now and then; TestPeers answers that.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -165,7 +165,7 @@
 	// A job waits a moment for news on its way: of the load of two members, where nobody tells a sparse router;
 	// of positions, where no replica is known fresh enough. Else routers crowd above all the primaries.
 	soon := now < j.taken+2*r.sweep
-	if soon && len(j.trips) == 0 && r.sparse() && !r.isTold(now) {
+	if soon && len(j.trips) == 0 && r.sparse() && !r.isTold(now) && now-r.summedAt >= r.fade {
 		j.held = r.ask(j, 2-2*j.asked, r.fade/4, now)
 		j.asked = 1
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -27,6 +27,7 @@
 	zone                                  int32
 	marks                                 map[uint32][]int32
 	period, speakAt, tellAt, toldAt, keep int64
+	summedAt                              int64   // when it was last told what all routers have
 	gap, echoAt                           int64   // between news without an echo, and before which none is given
 	shared                                room    // of all nodes, for want of better
 	fade                                  int64   // how long what a node shows counts
@@ -286,7 +287,7 @@
 // Lean is the logarithm of how much stronger the node has proved than its weight says.
 func (r *Router) Summed(now int64, n int, held, lean float64, age int64) {
 	if m := &r.nodes[n]; m.group >= 0 && now-age >= m.allAt {
-		m.all, m.lean, m.allAt, r.toldAt = held, lean, now-age, now
+		m.all, m.lean, m.allAt, r.summedAt = held, lean, now-age, now
 	}
 }
 
--- a/balance/words.go
+++ b/balance/words.go
@@ -39,7 +39,11 @@
 
 // knock asks one other router whether words pass.
 func (r *Router) knock(now int64) {
-	r.out.Tell(int(r.chance.below(int64(max(r.me, 2)))), append(heading(now), 0))
+	to := 1
+	if r.me > 0 {
+		to = int(r.chance.below(int64(r.me)))
+	}
+	r.out.Tell(to, append(heading(now), 0))
 }
 
 // asked answers one that asks whether words pass, and tells whether that was all.
--- a/cmd/sedgestream/main_test.go
+++ b/cmd/sedgestream/main_test.go
@@ -518,7 +518,11 @@
 	words := make([]byte, 1500)
 	f.Peer.SetReadDeadline(time.Now().Add(standin.Patience))
 	n, from, err := f.Peer.ReadFromUDP(words)
-	if err != nil || n == 0 || n > 256 {
+	if err != nil || n != 9 { // whether words pass
+		t.Fatal(n, err)
+	}
+	f.Peer.WriteToUDP(words[:8], from)
+	if n, from, err = f.Peer.ReadFromUDP(words); err != nil || n <= 9 || n > 256 {
 		t.Fatal(n, err)
 	}
 	stranger, err := net.DialUDP("udp", nil, from)
