Loss, delay, doubling and throttling by directed way between processes

Cause: the rig's relays could cut and mute one way alone, but lose, delay, double and throttle only for all. Change: these faults name who says and to whom, where they name anybody; fleet show tells how many members it has left out.

--- a/cmd/sedgestream/hardcases_test.go
+++ b/cmd/sedgestream/hardcases_test.go
@@ -79,6 +79,8 @@
 	"a seed that is dead at the start": {absent: []int{0, 1}, faults: []day.Fault{{At: 0, For: p(40), Kind: day.Kill, Who: []int{0}},
 		{At: 0, For: p(60), Kind: day.Kill, Who: []int{1}}}},
 	"a fifth of all datagrams lost": {calm: true, faults: []day.Fault{{At: p(10), For: p(100), Kind: day.Loss, Part: 0.2}}},
+	"one way loses half, another is late": {faults: []day.Fault{{At: p(10), For: p(60), Kind: day.Loss, Who: []int{4}, Others: []int{0, 1, 5, 7}, Part: 0.5},
+		{At: p(10), For: p(60), Kind: day.Late, Who: []int{8}, Part: 1, Span: p(2)}, {At: p(20), For: p(40), Kind: day.Throttle, Who: []int{6}, Others: []int{2}, Part: 4}}},
 	"old datagrams": {faults: append(shift(15, 20, day.Kill, []int{4}, []int{5}, []int{6}), day.Fault{At: p(10), For: p(90), Kind: day.Old, Part: 0.5},
 		day.Fault{At: p(12), Kind: day.Kill, Who: []int{9}})},
 	"a starved core": {calm: true, faults: []day.Fault{{At: p(10), For: p(60), Kind: day.Slow, Who: []int{6}, Part: 0.1}}},
--- a/internal/advise/fleet.go
+++ b/internal/advise/fleet.go
@@ -232,6 +232,9 @@
 		}
 	}
 	for _, v := range s.Views {
+		if v.Beyond > 0 {
+			fmt.Fprintf(d.Out, "\n%s knows of %d more than it tells\n", v.Self.Name, v.Beyond)
+		}
 		if v.Other != nil {
 			fmt.Fprintf(d.Out, "\n%s has heard of another view %d by %s, first %v ago\n", v.Self.Name, v.Other.Number, v.Other.Who, time.Duration(v.Other.Since).Round(time.Millisecond))
 		}
--- a/internal/lab/day/day.go
+++ b/internal/lab/day/day.go
@@ -12,7 +12,8 @@
 // Kind is what goes wrong.
 type Kind string
 
-// The faults. Those that say so last for a while; the others are over at once.
+// The faults. Those that say so last for a while; the others are over at once. Among processes Loss, Late, Double, Throttle and
+// Old concern what Who say to Others, or all where nobody is named.
 const (
 	Kill   Kind = "kill"   // Who end without a word, and start again as new lives when it is over; for ever if For is 0
 	Stop   Kind = "stop"   // Who stand still, and go on when it is over
--- a/internal/lab/fleet/play.go
+++ b/internal/lab/fleet/play.go
@@ -411,19 +411,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w := link.Weather{}
-	var cuts, mutes []*day.Fault
+	var cuts, mutes, ways []*day.Fault
 	for _, f := range r.on {
 		switch f.Kind {
-		case day.Loss:
-			w.Loss = max(w.Loss, f.Part)
-		case day.Double:
-			w.Double = max(w.Double, f.Part)
-		case day.Late:
-			w.Late, w.Span = f.Part, f.Span
-		case day.Old:
-			w.Old = max(w.Old, f.Part)
-		case day.Throttle:
-			w.Rate = int(f.Part * 1000)
+		case day.Loss, day.Double, day.Late, day.Old, day.Throttle:
+			ways = append(ways, f)
+			w.Old = w.Old || f.Kind == day.Old
 		case day.Mute:
 			mutes = append(mutes, f)
 		case day.Split, day.OneWay:
@@ -433,12 +426,38 @@
 	if len(cuts) > 0 {
 		w.Cut = func(from, to int) bool { return cut(cuts, from, to) }
 	}
+	if len(ways) > 0 {
+		w.Way = func(from, to int) link.Way { return wayOf(ways, from, to) }
+	}
 	if len(mutes) > 0 {
 		w.Mute = func(from, to int) bool { return cut(mutes, from, to) }
 	}
 	r.Net.Set(w)
 }
 
+// wayOf is how the way from one to another is by the faults that are on: each concerns what Who say, or all if nobody is named, to
+// Others, or to all.
+func wayOf(fs []*day.Fault, from, to int) (w link.Way) {
+	for _, f := range fs {
+		if len(f.Who) > 0 && !slices.Contains(f.Who, from) || len(f.Others) > 0 && !slices.Contains(f.Others, to) {
+			continue
+		}
+		switch f.Kind {
+		case day.Loss:
+			w.Loss = max(w.Loss, f.Part)
+		case day.Double:
+			w.Double = max(w.Double, f.Part)
+		case day.Late:
+			w.Late, w.Span = f.Part, f.Span
+		case day.Old:
+			w.Old = max(w.Old, f.Part)
+		case day.Throttle:
+			w.Rate = int(f.Part * 1000)
+		}
+	}
+	return w
+}
+
 // cut tells whether one of the faults keeps what one says from another.
 func cut(fs []*day.Fault, from, to int) bool {
 	for _, f := range fs {
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -15,14 +15,29 @@
 
 // Weather is how the network is at a moment. Its zero value is a whole network.
 type Weather struct {
-	Cut    func(from, to int) bool // nothing passes this way; nil: all does
-	Loss   float64                 // part of the datagrams that is lost
-	Double float64                 // part that comes twice
-	Late   float64                 // part that comes later,
-	Span   time.Duration           // by up to that
-	Old    float64                 // part that comes once more, when this is over
-	Mute   func(from, to int) bool // what is said this way over connections stays under way; nil: nothing does
-	Rate   int                     // bytes a second that a connection carries each way; 0: any number
+	Cut func(from, to int) bool // nothing passes this way; nil: all does
+	// Way is how one directed way is; nil: all are whole.
+	Way  func(from, to int) Way
+	Mute func(from, to int) bool // what is said this way over connections stays under way; nil: nothing does
+	Old  bool                    // datagrams that are kept stay kept; else they come now
+}
+
+// Way is how a directed way between two is. Its zero value is a whole one.
+type Way struct {
+	Loss   float64       // part of the datagrams that is lost
+	Double float64       // part that comes twice
+	Late   float64       // part that comes later,
+	Span   time.Duration // by up to that
+	Old    float64       // part that comes once more, when that is over
+	Rate   int           // bytes a second that a connection carries; 0: any number
+}
+
+// way is that between two.
+func (w *Weather) way(from, to int) Way {
+	if w.Way == nil {
+		return Way{}
+	}
+	return w.Way(from, to)
 }
 
 // Network is some relays under one weather.
@@ -53,7 +68,7 @@
 	close(n.changed)
 	n.changed = make(chan struct{})
 	var old []func()
-	if w.Old == 0 {
+	if !w.Old {
 		old, n.old = n.old, nil
 	}
 	n.mu.Unlock()
@@ -72,8 +87,8 @@
 func (n *Network) fate(from, to int, again func()) (times int, late time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	w := &n.weather
-	if w.Cut != nil && w.Cut(from, to) || n.chance.Float64() < w.Loss {
+	w := n.weather.way(from, to)
+	if n.weather.Cut != nil && n.weather.Cut(from, to) || n.chance.Float64() < w.Loss {
 		return 0, 0
 	}
 	times = 1
@@ -93,7 +108,7 @@
 func (n *Network) mute(from, to int) (mute bool, rate int, changed chan struct{}) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.weather.Mute != nil && n.weather.Mute(from, to), n.weather.Rate, n.changed
+	return n.weather.Mute != nil && n.weather.Mute(from, to), n.weather.way(from, to).Rate, n.changed
 }
 
 func (n *Network) cut(from, to int) bool {
