A member that takes any free port tries another where connections have taken it

Cause, by reading, not reproduced: join in service.go opens datagrams at any free port and then connections at the same one, which may be taken for connections by others at that address; the start failed then. Change: of any port another is tried, twenty times at most; the rig tells how such a log ends.

--- a/internal/lab/fleet/rig.go
+++ b/internal/lab/fleet/rig.go
@@ -289,7 +289,8 @@
 	select {
 	case <-up:
 	case <-exit:
-		r.fault("%s ended at its start: see %s", c.name, r.log(c))
+		text, _ := os.ReadFile(r.log(c))
+		r.fault("%s ended at its start: see %s; it ends by %q", c.name, r.log(c), text[max(0, len(text)-300):])
 		return
 	case <-time.After(standin.Patience):
 		r.fault("%s does not serve: see %s", c.name, r.log(c))
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -2,6 +2,7 @@
 package service
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"net"
@@ -10,6 +11,7 @@
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -221,17 +223,27 @@
 	if s.files.Forward {
 		kind = members.Forwarder
 	}
-	s.member, err = member.New(member.Post{Fleet: tier.Fleet, Name: s.posting.Name, Zone: s.posting.Zone, Kind: kind, Listen: s.files.Listen,
-		Advertise: s.files.Advertise, Seeds: tier.Seeds, Period: tier.Probe, Forget: tier.Forget}, s.log, nil)
-	if err != nil {
-		return fmt.Errorf("members: %w", err)
-	}
-	if err = s.member.Listen(); err != nil {
-		return fmt.Errorf("members: %w", err)
+	_, port, _ := net.SplitHostPort(s.files.Listen)
+	for try := 1; ; try++ {
+		s.member, err = member.New(member.Post{Fleet: tier.Fleet, Name: s.posting.Name, Zone: s.posting.Zone, Kind: kind, Listen: s.files.Listen,
+			Advertise: s.files.Advertise, Seeds: tier.Seeds, Period: tier.Probe, Forget: tier.Forget}, s.log, nil)
+		if err != nil {
+			return fmt.Errorf("members: %w", err)
+		}
+		if err = s.member.Listen(); err == nil {
+			return nil
+		}
+		s.member.Close()
+		// A port that is free for datagrams may be taken for connections; of any port, another will do.
+		if port != "0" || try == mostPorts || !errors.Is(err, syscall.EADDRINUSE) {
+			return fmt.Errorf("members: %w", err)
+		}
 	}
-	return nil
 }
 
+// mostPorts is how many ports are tried where any free one will do.
+const mostPorts = 20
+
 // talk opens the address for other routers' words, or closes it, unless it is so already or there is none.
 func (s *Service) talk(on bool) error {
 	peers, p := s.peers.Load(), s.posting
