--- a/balance/balance.go
+++ b/balance/balance.go
@@ -60,7 +60,7 @@
 	r.asideFor, r.grace, r.coldFor, r.span = 4*c.ConnectTimeout, c.DrainGrace/2, c.ColdFor, max(c.FallSpan, 1)
 	r.startShare, r.perSpan, r.away = c.StartShare, coldPart*c.FallMultiple, c.LongestAbsence
 	r.leastBackoff, r.goneMayServe, r.peers = c.AskEvery/20, c.GoneMayServe, c.RoutersTalk
-	r.asking, r.me, r.keep, r.zone = c.ListOnAsking, c.Me, c.KeepAlive, int32(c.Zone)
+	r.asking, r.pushed, r.me, r.keep, r.zone = c.ListOnAsking, c.ListPushed, c.Me, c.KeepAlive, int32(c.Zone)
 	shortest, best, bound := int64(math.MaxInt64), 0.0, int64(math.MaxInt64)
 	for _, t := range c.Tariffs {
 		switch shortest = min(shortest, t.ContractTime); {
@@ -100,9 +100,12 @@
 }
 
 // ListFailed tells that asking for the list failed, or that the watch broke. The next try comes later
-// each time and at a random moment, so that routers that start or fail together don't ask together.
+// each time where asking costs, and at a random moment: routers that fail together don't ask together.
 func (r *Router) ListFailed(now int64) {
-	r.watchAt, r.backoff = now+r.backoff/2+r.chance.below(r.backoff), min(2*r.backoff, 10*r.leastBackoff)
+	r.watchAt = now + r.backoff/2 + r.chance.below(r.backoff)
+	if r.backoff = min(2*r.backoff, 10*r.leastBackoff); r.pushed {
+		r.backoff = r.leastBackoff
+	}
 	r.rouse(now)
 }
 
@@ -828,9 +831,6 @@
 	}
 }
 
-// passed is how many times over the node has answered as many trips as were there when this one left.
-func (m *node) passed(k *trip) float64 { return (m.answers - k.answers) / (k.among + 1) }
-
 // late looks after a job's trips, and tells whether one is worth waiting for: not at a node set aside, and
 // not overdue. A trip past its contract time strains its node at once; but where the node has passed it over
 // with many other answers, it may be lost, which says nothing of crowding and holds no room. Guards against
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -469,3 +469,21 @@
 		t.Fatal(sent, limit)
 	}
 }
+
+// Where lists are pushed asking costs nothing, and what was told counts whether or not it was asked for: the next try never comes
+// later than the first. Elsewhere it comes later each time.
+func TestPushedListsAreAskedForSoon(t *testing.T) {
+	for _, pushed := range []bool{true, false} {
+		c := shop()
+		c.ListOnAsking, c.ListPushed = true, pushed
+		w := newLedger(c, 1)
+		longest := int64(0)
+		for range 20 {
+			w.r.ListFailed(w.now)
+			longest = max(longest, w.r.watchAt-w.now)
+		}
+		if first := c.AskEvery / 20 * 3 / 2; (longest <= first) != pushed {
+			t.Errorf("pushed: %v, and asked again after %d ms at most, at first after %d", pushed, longest/ms, first/ms)
+		}
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -15,7 +15,7 @@
 	jobs                                  []job
 	free, waiting                         []Place
 	maxTrips, word                        int
-	second, probes, check, asking         bool
+	second, probes, check, asking, pushed bool
 	whole                                 bool  // the list being told is whole
 	sweep, refresh, useful, away, age     int64 // age: of reports, on average
 	looked, wakeAt                        int64 // when it last looked after what goes by time, and when its alarm rings
@@ -318,6 +318,9 @@
 	return held * max(0, 1-float64(now-at)/float64(fade))
 }
 
+// passed is how many times over the node has answered as many trips as were there when this one left.
+func (m *node) passed(k *trip) float64 { return (m.answers - k.answers) / (k.among + 1) }
+
 // Lend has a young node sent so much work at most over the rule's span, until then; after that and until kept
 // a part of the own share. It moves shares about among routers, and all together send as much as alone.
 func (r *Router) Lend(n int, work, part float64, until, kept int64) {
--- a/balance/types.go
+++ b/balance/types.go
@@ -54,6 +54,7 @@
 	Probes          bool
 	NodesCheck      bool // nodes turn away reads for which they are too far behind
 	ListOnAsking    bool
+	ListPushed      bool // asking costs nothing: what was told is there already
 	AskEvery        int64
 	ConnectTimeout  int64
 	KeepAlive       int64 // of idle connections
--- a/cmd/sedgestream/main_test.go
+++ b/cmd/sedgestream/main_test.go
@@ -296,9 +296,21 @@
 	if !f.Logged("a line from discovery is wrong") {
 		t.Error("a wrong line was not logged")
 	}
-	f.Cut <- struct{}{} // the watch ends, and is asked for again from where it stood
-	if at := <-f.Watches; at != "9" {
-		t.Errorf("the next watch begins at %s, want 9", at)
+	// The wrong lines may have held what nobody tells again: the whole list is asked for, and once more as the watch begins
+	// anew from where it stood, since this one never tells it.
+	if at := <-f.Watches; at != "whole" {
+		t.Errorf("after wrong lines discovery was asked for %s, want the whole list", at)
+	}
+	for len(f.Watches) > 0 {
+		if at := <-f.Watches; at != "whole" {
+			t.Errorf("after wrong lines discovery was asked for %s, want the whole list", at)
+		}
+	}
+	f.Cut <- struct{}{}
+	for _, want := range []string{"whole", "9"} {
+		if at := <-f.Watches; at != want {
+			t.Errorf("the next watch begins at %s, want %s", at, want)
+		}
 	}
 	n := len(b.Got())
 	moved := standin.NewNode(t, "copy") // under the same id
--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -32,6 +32,7 @@
 		Probes:         field.Flag(limits, "probes"),
 		NodesCheck:     checks == "await" || checks == "bounce",
 		ListOnAsking:   field.Str(f, "discovery", false) == "ask",
+		ListPushed:     field.Str(f, "discovery", false) == "push",
 		AskEvery:       us(rules, "askEveryUs", false),
 		ConnectTimeout: us(limits, "connectTimeoutUs", false),
 		KeepAlive:      us(limits, "keepaliveUs", false),
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -24,19 +24,18 @@
 	"sedgestream/internal/ring"
 )
 
-// As the protocol page has it: an empty line comes every 2 s while nothing changes. A watch that misses two
-// in a row has broken.
+// As the protocol page has it: an empty line comes every 2 s while nothing changes. A watch that brings nothing for half as
+// long again has broken, and so has a list that has begun and does not end; a call is answered at once, or not at all. What a
+// silent watch misses counts as told 6 s later: that leaves time for two more calls, one of which may hang as well.
 const (
 	path    = "/discovery/hosts"
 	beat    = 2 * time.Second
-	silence = 3*beat - beat/2
+	silence = beat + beat/2
+	atOnce  = beat / 2
 )
 
-// What one line, and one header, may hold.
-const (
-	mostLine   = 1 << 20
-	mostHeader = 16 << 10
-)
+// mostHeader is what the head of an answer may hold.
+const mostHeader = 16 << 10
 
 // List is one answer's entries.
 type List struct {
@@ -82,21 +81,23 @@
 	log     *zap.Logger
 
 	mu    sync.Mutex
-	at    *place // nil once closed
-	watch net.Conn
+	at    *place                // nil once closed
+	calls map[net.Conn]struct{} // that are under way
+	tasks sync.WaitGroup        // of its own
 }
 
 // place is one address of discovery, until it moves. Versions are counted by each on its own.
 type place struct {
 	address string
 	version int64
-	strange bool // it has not told the whole list yet
+	strange bool // it has not told the whole list yet, or told something wrong since
+	asking  bool // for the whole list, beside the watch
 }
 
 // New tells the list that the router had before it started.
 func New(address string, known List, connect time.Duration, d *desk.Desk, log *zap.Logger) *Lister {
 	d.List(known.Version, true, known.Rows)
-	l := &Lister{desk: d, log: log, at: &place{address: address, version: known.Version}}
+	l := &Lister{desk: d, log: log, at: &place{address: address, version: known.Version}, calls: map[net.Conn]struct{}{}}
 	l.Heed(connect)
 	return l
 }
@@ -112,14 +113,13 @@
 		return
 	}
 	l.at = &place{address: address, strange: true}
-	l.endWatch()
+	l.endCalls()
 	l.desk.ListMoved()
 }
 
-func (l *Lister) endWatch() {
-	if l.watch != nil {
-		l.watch.Close()
-		l.watch = nil
+func (l *Lister) endCalls() {
+	for sock := range l.calls {
+		sock.Close()
 	}
 }
 
@@ -159,6 +159,27 @@
 	}
 }
 
+// doubt has the whole list asked for at once, since a wrong one may have held what nobody tells again. The watch goes on
+// beside that, and begins by the whole list when it is opened anew, unless that has come by then.
+func (l *Lister) doubt(at *place) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.at != at || at.asking {
+		return
+	}
+	at.strange, at.asking = true, true
+	l.tasks.Add(1)
+	go func() {
+		defer l.tasks.Done()
+		err := l.follow(at, path, false)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if at.asking = false; l.at == at && err != io.EOF {
+			l.log.Warn("asking for the whole list after a wrong one failed", zap.Error(err))
+		}
+	}()
+}
+
 // failed tells the module, unless nobody asks there any more.
 func (l *Lister) failed(at *place, words string, err error) {
 	l.mu.Lock()
@@ -169,32 +190,40 @@
 	}
 }
 
-// Close ends the watch.
+// Close ends the watch, and whatever else is being asked.
 func (l *Lister) Close() {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.at = nil
-	l.endWatch()
+	l.endCalls()
+	l.mu.Unlock()
+	l.tasks.Wait()
 }
 
-// stands tells whether the list is still asked for there; a watch is then the one that Close and Move end.
-func (l *Lister) stands(at *place, sock net.Conn, watch bool) bool {
+// stands tells whether the list is still asked for there; the call is then among those that Close and Move end.
+func (l *Lister) stands(at *place, sock net.Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.at == at && watch {
-		l.watch = sock
+	if l.at == at {
+		l.calls[sock] = struct{}{}
 	}
 	return l.at == at
 }
 
-// follow sends one request and takes in each line of its answer.
+func (l *Lister) over(sock net.Conn) {
+	sock.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.calls, sock)
+}
+
+// follow sends one request and takes in each list of its answer. It gives io.EOF once that is whole.
 func (l *Lister) follow(at *place, target string, watch bool) error {
 	sock, err := net.DialTimeout("tcp", at.address, time.Duration(l.connect.Load()))
 	if err != nil {
 		return err
 	}
-	defer sock.Close()
-	if !l.stands(at, sock, watch) {
+	defer l.over(sock)
+	if !l.stands(at, sock) {
 		return net.ErrClosed
 	}
 	out := ring.New(ring.First, ring.First, nil)
@@ -203,43 +232,54 @@
 	if err := out.Flush(sock); err != nil {
 		return err
 	}
-	in := &source{sock: sock, ring: ring.New(ring.First, ring.First, nil), silence: silence}
+	in := &source{sock: sock, ring: ring.New(ring.First, ring.First, nil), until: time.Now().Add(atOnce)}
 	body, err := answer(bufio.NewReader(in))
 	if err != nil {
 		return err
 	}
-	lines := bufio.NewReaderSize(body, ring.First)
-	var line []byte
-	for {
-		part, err := lines.ReadSlice('\n')
-		if line = append(line, part...); len(line) > mostLine {
-			return errors.New("list: a line is too long")
-		}
-		if err == bufio.ErrBufferFull {
-			continue
-		}
-		if err != nil && err != io.EOF {
-			return err // a torn line is not looked at
+	lists := &lists{r: bufio.NewReaderSize(body, ring.First)}
+	lists.begins = func() { in.until = time.Now().Add(silence) }
+	lists.ends = func() { in.until = time.Time{} }
+	if lists.ends(); !watch {
+		lists.begins() // the only one, which comes at once
+	}
+	for stands := false; ; {
+		text, err := lists.next()
+		switch {
+		case err == nil && len(text) > 0:
+			err = l.list(at, text, lists.at)
+		case err == nil && watch && !stands: // nothing has changed, and what failed before is over
+			stands = true
+			l.stood(at)
 		}
-		if text := strings.TrimSpace(string(line)); text != "" {
-			l.line(at, text)
+		if wrong := (*wrongList)(nil); errors.As(err, &wrong) {
+			l.log.Warn("a line from discovery is wrong", zap.String("at", at.address), zap.Int64("byte", wrong.at), zap.Error(err))
+			if watch {
+				l.doubt(at)
+				continue
+			}
 		}
-		if line = line[:0]; err != nil {
+		if err != nil {
 			return err
 		}
 	}
 }
 
-// source is the socket through its ring; a read that brings nothing for too long fails.
+// source is the socket through its ring; a read that brings nothing for too long fails, and so does one past the time by
+// which what has begun is to be whole, if there is one.
 type source struct {
-	sock    net.Conn
-	ring    *ring.Ring
-	silence time.Duration
+	sock  net.Conn
+	ring  *ring.Ring
+	until time.Time
 }
 
 func (s *source) Read(p []byte) (int, error) {
 	if s.ring.Len() == 0 {
-		s.sock.SetReadDeadline(time.Now().Add(s.silence))
+		until := time.Now().Add(silence)
+		if !s.until.IsZero() && s.until.Before(until) {
+			until = s.until
+		}
+		s.sock.SetReadDeadline(until)
 		if _, err := s.ring.Fill(s.sock); err != nil && s.ring.Len() == 0 {
 			return 0, err
 		}
@@ -247,17 +287,26 @@
 	return s.ring.Read(p)
 }
 
-// line takes in one list. A wrong one is logged, and the last list stands.
-func (l *Lister) line(at *place, text string) {
-	v, err := fastjson.Parse(text)
-	var list List
-	if err == nil {
-		list, err = Read(v)
-	}
+// list takes in one list, which ends so many bytes into the answer's body. Of a wrong one nothing is taken, and the last
+// list stands.
+func (l *Lister) list(at *place, text []byte, upTo int64) error {
+	list, err := parse(text)
 	if err != nil {
-		l.log.Warn("a line from discovery is wrong", zap.Error(err))
-		return
+		return &wrongList{upTo, err}
 	}
+	l.take(at, list)
+	return nil
+}
+
+// stood takes in that a watch brings empty lines: a list in which nothing has changed.
+func (l *Lister) stood(at *place) {
+	l.mu.Lock()
+	version := at.version
+	l.mu.Unlock()
+	l.take(at, List{Version: version})
+}
+
+func (l *Lister) take(at *place, list List) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if list.Version < at.version || l.at != at { // of a call overtaken by the watch, or from where nobody asks any more
@@ -312,11 +361,28 @@
 	case chunked:
 		return &chunks{r: r}, nil
 	case length >= 0:
-		return io.LimitReader(r, length), nil
+		return &counted{r, length}, nil
 	}
 	return r, nil
 }
 
+// counted reads a body of so many bytes; one that ends earlier is torn.
+type counted struct {
+	r    io.Reader
+	left int64
+}
+
+func (c *counted) Read(p []byte) (int, error) {
+	if c.left == 0 {
+		return 0, io.EOF
+	}
+	n, err := c.r.Read(p[:min(int64(len(p)), c.left)])
+	if c.left -= int64(n); err == io.EOF && c.left > 0 {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
 // headLine is a line without its end, of bounded length.
 func headLine(r *bufio.Reader) (string, error) {
 	line, err := r.ReadSlice('\n')
--- /dev/null
+++ b/internal/list/moments_test.go
@@ -0,0 +1,321 @@
+package list
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"sedgestream/balance"
+	"sedgestream/internal/contract"
+	"sedgestream/internal/desk"
+)
+
+// reach notes the nodes that the list names.
+type reach map[string]string
+
+func (r reach) Reach(_ int, name, address string) { r[name] = address }
+func (r reach) Drop(int)                          {}
+
+// list is one of a version, with one node.
+func listOf(version int, state string) string {
+	return fmt.Sprintf(`{"version":%d,"full":true,"servers":[%s]}`, version, strings.Replace(entry, "draining", state, 1))
+}
+
+// indented spreads a list over lines, as a printer does.
+func indented(list string) string {
+	return strings.NewReplacer("{", "{\n  ", "[", "[\n    ", ",", ",\n  ", "}", "\n}", "]", "\n  ]").Replace(list)
+}
+
+// Lists come on a line each or over several, cut anywhere. One that is torn, or is none, costs none that follows it.
+func TestLists(t *testing.T) {
+	one, two := listOf(8, "up"), listOf(9, "draining")
+	flat := strings.ReplaceAll(indented(one), "\n  ", "\n") // no line is indented
+	for _, c := range []struct{ name, stream, want string }{
+		{"a line each", one + "\n" + two + "\n", "8 9 EOF"},
+		{"empty lines", "\n\r\n" + one + "\n\n\n" + two, "- - 8 - - 9 EOF"},
+		{"indented", indented(one) + "\n" + indented(two) + "\n\n", "8 9 - EOF"},
+		{"indented from the first byte", "  " + strings.ReplaceAll(indented(one), "\n", "\n  ") + "\n", "8 EOF"},
+		{"over lines that are not indented", flat + "\n" + two + "\n", "8 9 EOF"},
+		{"an empty line inside", strings.Replace(indented(one), "\n", "\n\n", 3) + "\n" + two, "8 9 EOF"},
+		{"one behind the other", one + two + "\n" + one, "8 9 8 EOF"},
+		{"brackets and quotes in strings", strings.Replace(one, `"zone":"a"`, `"zone":"}]\"{[\\"`, 1) + "\n" + two, "8 9 EOF"},
+		{"torn in a string", one[:14] + `"fu` + "\n" + two + "\n", "wrong 9 EOF"},
+		{"torn between", one[:13] + "\n" + two + "\n" + one, "wrong 9 8 EOF"},
+		{"torn behind an entry", strings.TrimSuffix(one, "]}") + "\n" + indented(two) + "\n" + one + "\n", "wrong 9 8 EOF"},
+		{"indented and torn", indented(one)[:len(indented(one))/2] + "\n" + two + "\n", "wrong 9 EOF"},
+		{"nonsense", "<html>\n  <p>{}\n\n" + one + "\n", "wrong - 8 EOF"},
+		{"a wrong list", strings.Replace(one, `"up"`, `"asleep"`, 1) + "\n" + two + "\n", "wrong 9 EOF"},
+		{"no list", "[1]\n7\n" + one + "\n", "wrong 8 EOF"},
+		{"cut off", one + "\n" + two[:30], "8 unexpected EOF"},
+		{"unending", one + "\n{\"version\":[" + strings.Repeat("[1],", mostList/4), "8 list: one is longer than 1048576 bytes"},
+		{"unending string", `{"` + strings.Repeat("v", 2*mostList), "list: one is longer than 1048576 bytes"},
+	} {
+		for _, cut := range []func(io.Reader) io.Reader{func(r io.Reader) io.Reader { return r }, iotest.OneByteReader, iotest.HalfReader} {
+			s := &lists{r: bufio.NewReader(cut(strings.NewReader(c.stream))), begins: func() {}, ends: func() {}}
+			var got []string
+			for end := false; !end; {
+				text, err := s.next()
+				if err == nil && len(text) > 0 {
+					var l List
+					if l, err = parse(text); err == nil {
+						got = append(got, fmt.Sprint(l.Version))
+						continue
+					}
+					err = &wrongList{s.at, err}
+				}
+				var wrong *wrongList
+				switch {
+				case errors.As(err, &wrong):
+					got = append(got, "wrong")
+				case err != nil:
+					got, end = append(got, err.Error()), true
+				default:
+					got = append(got, "-")
+				}
+			}
+			if strings.Join(got, " ") != c.want {
+				t.Errorf("%s: %q, want %q", c.name, strings.Join(got, " "), c.want)
+			}
+			if cap(s.text) > 2*mostList {
+				t.Errorf("%s: %d bytes are kept", c.name, cap(s.text))
+			}
+		}
+	}
+}
+
+// discovery is a listener that answers each call by what comes over calls, and tells what was asked for.
+type discovery struct {
+	t     *testing.T
+	l     net.Listener
+	asked chan string
+	socks chan net.Conn
+}
+
+func newDiscovery(t *testing.T) *discovery {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &discovery{t, l, make(chan string, 100), make(chan net.Conn, 100)}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			sock, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				line, _ := bufio.NewReader(sock).ReadString('\n')
+				d.asked <- strings.TrimSuffix(strings.TrimPrefix(strings.TrimSpace(line), "GET /discovery/hosts"), " HTTP/1.1")
+				d.socks <- sock
+			}()
+		}
+	}()
+	return d
+}
+
+const streamHead = "HTTP/1.1 200 OK\r\n\r\n"
+
+// call waits for the next call and answers it so far.
+func (d *discovery) call(want, answer string) net.Conn {
+	d.t.Helper()
+	select {
+	case got := <-d.asked:
+		if got != want {
+			d.t.Fatalf("asked for %q, want %q", got, want)
+		}
+	case <-time.After(10 * time.Second):
+		d.t.Fatalf("nobody asks for %q", want)
+	}
+	sock := <-d.socks
+	d.t.Cleanup(func() { sock.Close() })
+	io.WriteString(sock, answer)
+	return sock
+}
+
+func newLister(t *testing.T, at string) (*Lister, *desk.Desk, reach, *observer.ObservedLogs) {
+	core, logs := observer.New(zap.WarnLevel)
+	nodes := reach{}
+	d := desk.Open(&contract.Contract{Contract: balance.Contract{ListOnAsking: true, AskEvery: int64(time.Second),
+		Tariffs: []balance.Tariff{{ContractTime: int64(time.Second / 10), Earnings: 1}}}}, 1, nodes, zap.NewNop())
+	l := New(at, List{Version: 7}, time.Second, d, zap.New(core))
+	t.Cleanup(l.Close)
+	return l, d, nodes, logs
+}
+
+// began runs a call and tells when it ends, and after how long.
+func began(f func()) <-chan time.Duration {
+	over := make(chan time.Duration, 1)
+	go func() {
+		begun := time.Now()
+		f()
+		over <- time.Since(begun)
+	}()
+	return over
+}
+
+func ends(t *testing.T, what string, over <-chan time.Duration, least, most time.Duration) {
+	t.Helper()
+	select {
+	case took := <-over:
+		if took < least || took > most {
+			t.Errorf("%s ended after %v, want %v to %v", what, took, least, most)
+		}
+	case <-time.After(most + 5*time.Second):
+		t.Errorf("%s goes on after %v", what, most+5*time.Second)
+	}
+}
+
+// What falls silent is broken: a watch, one whose list never ends though lines come, and a call whose head never comes. With
+// what a router waits before it asks again that has to come to less than the 6 s after which what is missed counts as told.
+func TestSilentWatch(t *testing.T) {
+	room := 700 * time.Millisecond // for a busy machine
+	t.Run("watch", func(t *testing.T) {
+		t.Parallel()
+		d := newDiscovery(t)
+		l, _, _, _ := newLister(t, d.l.Addr().String())
+		over := began(l.Watch)
+		d.call("?stream=1&index=7", streamHead+listOf(8, "up")+"\n\n")
+		ends(t, "a silent watch", over, beat, silence+room)
+	})
+	t.Run("list that never ends", func(t *testing.T) {
+		t.Parallel()
+		d := newDiscovery(t)
+		l, _, _, _ := newLister(t, d.l.Addr().String())
+		over := began(l.Watch)
+		sock := d.call("?stream=1&index=7", streamHead+"{\"version\":8,\n")
+		go func() {
+			for range 100 {
+				time.Sleep(100 * time.Millisecond)
+				io.WriteString(sock, "\n")
+			}
+		}()
+		ends(t, "a watch whose list never ends", over, beat, silence+room)
+	})
+	t.Run("head", func(t *testing.T) {
+		t.Parallel()
+		d := newDiscovery(t)
+		l, _, _, _ := newLister(t, d.l.Addr().String())
+		over := began(l.Watch)
+		d.call("?stream=1&index=7", "HTTP/1.1 ")
+		ends(t, "a call whose head never comes", over, 0, atOnce+room)
+	})
+	t.Run("one that stands", func(t *testing.T) {
+		t.Parallel()
+		d := newDiscovery(t)
+		l, _, _, _ := newLister(t, d.l.Addr().String())
+		over := began(l.Watch)
+		sock := d.call("?stream=1&index=7", streamHead)
+		for range 3 {
+			time.Sleep(beat + beat/4)
+			io.WriteString(sock, "\n")
+		}
+		sock.Close()
+		ends(t, "a watch whose lines come a little late", over, 3*beat, 3*(beat+beat/4)+room)
+	})
+}
+
+// An answer that is shorter than it says is none, however it is read.
+func TestShortAnswer(t *testing.T) {
+	d := newDiscovery(t)
+	l, _, nodes, _ := newLister(t, d.l.Addr().String())
+	got := make(chan error)
+	for _, c := range []struct {
+		body string
+		more int
+		want error
+	}{{listOf(8, "up"), 0, io.EOF}, {listOf(9, "up"), 1, io.ErrUnexpectedEOF}, {listOf(9, "up")[:40], 40, io.ErrUnexpectedEOF}} {
+		go func() { got <- l.follow(l.at, path, false) }()
+		d.call("", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(c.body)+c.more, c.body)).Close()
+		if err := <-got; err != c.want {
+			t.Errorf("%d bytes less than said: %v, want %v", c.more, err, c.want)
+		}
+	}
+	if len(nodes) != 1 {
+		t.Errorf("the nodes are %v", nodes)
+	}
+	asked := func(d *desk.Desk) bool { // once more, soon
+		for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+			if d.Collect().Watch {
+				return true
+			}
+		}
+		return false
+	}
+	l.desk.Collect()
+	go func() { l.Lookup(); got <- nil }()
+	d.call("", "HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n"+listOf(10, "up")[:50]).Close()
+	if <-got; !asked(l.desk) {
+		t.Error("nobody asks again after a torn answer")
+	}
+}
+
+// After something wrong the whole list is asked for at once, beside the watch, which goes on; the place of the fault is logged.
+func TestWrongListAsksForAll(t *testing.T) {
+	d := newDiscovery(t)
+	l, _, nodes, logs := newLister(t, d.l.Addr().String())
+	over := began(l.Watch)
+	wrong := strings.Replace(listOf(8, "up"), `"up"`, `"asleep"`, 1)
+	watch := d.call("?stream=1&index=7", streamHead+wrong+"\n")
+	whole := d.call("", streamHead+strings.Replace(listOf(8, "up"), "s-1", "s-2", 1))
+	whole.Close()
+	io.WriteString(watch, strings.Replace(listOf(9, "up"), "s-1", "s-3", 1)+"\n")
+	until(t, "both lists", func() (both bool) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return len(nodes) == 2
+	})
+	if e := logs.FilterMessage("a line from discovery is wrong").All(); len(e) != 1 || e[0].ContextMap()["byte"] != int64(len(wrong)) {
+		t.Errorf("logged %v", e)
+	}
+	watch.Close()
+	ends(t, "the watch", over, 0, time.Second)
+	// With the whole list never come, the next watch begins by it.
+	over = began(l.Watch)
+	watch = d.call("?stream=1&index=9", streamHead+"nonsense\n")
+	d.call("", "HTTP/1.1 503 no\r\n\r\n").Close()
+	watch.Close()
+	ends(t, "the watch", over, 0, time.Second)
+	over = began(l.Watch)
+	d.call("", streamHead+listOf(10, "up")).Close()
+	d.call("?stream=1&index=10", streamHead).Close()
+	ends(t, "the watch", over, 0, time.Second)
+}
+
+// A lookup that hangs holds up neither a move nor the end of the program.
+func TestCallsEnd(t *testing.T) {
+	d, other := newDiscovery(t), newDiscovery(t)
+	l, _, _, _ := newLister(t, d.l.Addr().String())
+	for _, end := range []func(){func() { l.Move(other.l.Addr().String()) }, l.Close} {
+		over := began(l.Lookup)
+		at := d
+		if l.at.address == other.l.Addr().String() {
+			at = other
+		}
+		at.call("", "HTTP/1.1 200 OK\r\n")
+		begun := time.Now()
+		end()
+		<-over
+		if took := time.Since(begun); took > atOnce/2 {
+			t.Errorf("it took %v", took)
+		}
+	}
+}
+
+func until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("waited in vain: ", what)
+		}
+	}
+}
