Nothing begins at a node that left, past the grace, while its connection came up

Seen in a test on real sockets: a replica holds three connections in their greeting, the list says that it drains, and 0.8 s later, with a grace of 0.5 s, they come up: it got the queries. Cause: internal/trip/conn.go, live and comeUp: whether a node is open is judged as it is chosen, and a connection may take as long as connectTimeoutUs. Ruled out: that the list was heard late (the jobs that came after it went elsewhere).

As a connection comes up the module is asked (Router.Admits); what may not begin any more ends as never sent, and the job is placed anew. decay, which keeps no decision, moves to state.go. TestDrainsWhileAConnectionComesUp fails without this.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -323,6 +323,12 @@
 	return m.standing == In || r.goneMayServe && m.standing == Gone && !m.drained
 }
 
+// Admits tells whether what was sent before may begin at a node now: up to the grace of its leaving.
+func (r *Router) Admits(now int64, n int) bool {
+	m := &r.nodes[n]
+	return r.open(m) || now <= m.told+2*r.grace
+}
+
 // trusted tells whether a node is not set aside. After failures it proves itself by one trip at a time.
 func (m *node) trusted(now int64) bool {
 	return now >= max(m.aside, m.shunned) && (m.failures < distrust || m.held == 0)
@@ -462,12 +468,6 @@
 	return now < m.aside && m.failures >= distrust, m.served > 0 && now-m.served < span
 }
 
-func (r *Router) decay(m *node, now int64) {
-	if now > m.workAt {
-		m.work, m.workAt = m.work*math.Exp(-float64(now-m.workAt)/float64(r.span)), now
-	}
-}
-
 // mayRepeat tells whether another trip is allowed by the job's tariff, wherever it goes in its group.
 func (r *Router) mayRepeat(j *job, now int64) bool {
 	if j.over || len(j.trips) >= j.most || j.out > 0 && (!r.second || j.terms.NoCopies) || now >= j.limit {
--- a/balance/state.go
+++ b/balance/state.go
@@ -321,6 +321,13 @@
 // passed is how many times over the node has answered as many trips as were there when this one left.
 func (m *node) passed(k *trip) float64 { return (m.answers - k.answers) / (k.among + 1) }
 
+// decay takes off what of a node's work has gone by since.
+func (r *Router) decay(m *node, now int64) {
+	if now > m.workAt {
+		m.work, m.workAt = m.work*math.Exp(-float64(now-m.workAt)/float64(r.span)), now
+	}
+}
+
 // Lend has a young node sent so much work at most over the rule's span, until then; after that and until kept
 // a part of the own share. It moves shares about among routers, and all together send as much as alone.
 func (r *Router) Lend(n int, work, part float64, until, kept int64) {
--- a/cmd/sedgestream/moments_test.go
+++ b/cmd/sedgestream/moments_test.go
@@ -48,6 +48,33 @@
 	}
 }
 
+// A node begins to drain while connections come up for jobs: past the grace nothing new is begun there, and the jobs go elsewhere.
+func TestDrainsWhileAConnectionComesUp(t *testing.T) {
+	t.Parallel()
+	primary, replica := standin.Pair(t)
+	greeted, let := make(chan struct{}, 100), make(chan struct{})
+	replica.Greet = func(net.Conn) bool { greeted <- struct{}{}; <-let; return true }
+	f := newFleet(t, primary, replica)
+	f.Whole = true
+	f.Contract = strings.NewReplacer(`"probes":true`, `"probes":false`, `"aimUs":80000`, `"aimUs":20000000`).Replace(standin.Contract)
+	f.Start(os.Args[0])
+	<-f.Watches
+	var clients []*standin.Client
+	for range 3 {
+		clients = append(clients, f.Open(standin.View(20000)))
+	}
+	<-greeted
+	f.Changes <- `{"version":8,"full":false,"servers":[` + f.Entries("up", "draining") + "]}\n"
+	time.Sleep(800 * time.Millisecond) // past the grace of 500 ms
+	close(let)
+	for _, c := range clients {
+		c.Expect("from source")
+	}
+	if jobs := replica.Got(); len(jobs) != 0 {
+		t.Errorf("the draining node got %d jobs", len(jobs))
+	}
+}
+
 // A client that writes more than is read at a time and leaves: what waits behind its jobs in hand is not sent, though its end
 // stands behind bytes that nobody reads.
 func TestLeavesBehindAFullBuffer(t *testing.T) {
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -420,6 +420,13 @@
 	d.router.Probed(d.Now(), node, ok, rep)
 }
 
+// Admits tells whether an order that has waited for its connection may still begin at its node.
+func (d *Desk) Admits(node int) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.router.Admits(d.Now(), node)
+}
+
 // Heard tells what another router said.
 func (d *Desk) Heard(from int, words []byte) {
 	d.mu.Lock()
--- a/internal/trip/conn.go
+++ b/internal/trip/conn.go
@@ -57,6 +57,9 @@
 		c.finish(o, c.unsent(o), &pg.Answer{})
 		return
 	}
+	if d := c.nodes.Desk; d != nil && !d.Admits(o.node) { // its node has left while the connection came up
+		o.Recall()
+	}
 	for o != nil {
 		if !c.carry(o) {
 			return
