--- a/balance/balance.go
+++ b/balance/balance.go
@@ -59,8 +59,14 @@
 	r.maxTrips, r.second, r.probes, r.check = c.MaxTrips, c.SecondTrips, c.Probes, c.NodesCheck
 	r.asideFor, r.grace, r.coldFor, r.span = 4*c.ConnectTimeout, c.DrainGrace/2, c.ColdFor, max(c.FallSpan, 1)
 	r.startShare, r.perSpan, r.away = c.StartShare, coldPart*c.FallMultiple, c.LongestAbsence
-	r.leastBackoff, r.goneMayServe, r.peers = c.AskEvery/20, c.GoneMayServe, c.RoutersTalk
-	r.asking, r.pushed, r.me, r.keep, r.zone = c.ListOnAsking, c.ListPushed, c.Me, c.KeepAlive, int32(c.Zone)
+	r.goneMayServe, r.peers = c.GoneMayServe, c.RoutersTalk
+	if r.leastBackoff, r.mostBackoff = c.AskEvery/20, c.AskEvery/2; c.ListPushed { // asking costs nothing
+		r.mostBackoff = min(r.leastBackoff, r.grace/4)
+	} else if c.ListTold > 0 { // what is missed counts as told then
+		r.mostBackoff = min(r.mostBackoff, c.ListTold/2)
+	}
+	r.leastBackoff = min(r.leastBackoff, r.mostBackoff)
+	r.asking, r.me, r.keep, r.zone = c.ListOnAsking, c.Me, c.KeepAlive, int32(c.Zone)
 	shortest, best, bound := int64(math.MaxInt64), 0.0, int64(math.MaxInt64)
 	for _, t := range c.Tariffs {
 		switch shortest = min(shortest, t.ContractTime); {
@@ -103,9 +109,7 @@
 // each time where asking costs, and at a random moment: routers that fail together don't ask together.
 func (r *Router) ListFailed(now int64) {
 	r.watchAt = now + r.backoff/2 + r.chance.below(r.backoff)
-	if r.backoff = min(2*r.backoff, 10*r.leastBackoff); r.pushed {
-		r.backoff = r.leastBackoff
-	}
+	r.backoff = min(2*r.backoff, r.mostBackoff)
 	r.rouse(now)
 }
 
@@ -329,6 +333,16 @@
 	return r.open(m) || now <= m.told+2*r.grace
 }
 
+// Begins tells whether a trip that has waited for its connection may begin now: its node admits it and still
+// holds what it must see, and a repeat is in the window of the trips before it.
+func (r *Router) Begins(now int64, p Place, leg int) bool {
+	j := &r.jobs[p]
+	k, t, first := &j.trips[leg], &r.tariffs[j.tariff], j.mayHaveRun(leg)
+	m := &r.nodes[k.node]
+	return r.Admits(now, int(k.node)) && (first == nil || t.Repeat != Numbered || now <= first.sent+t.Window) &&
+		(r.check || t.Need >= Fresh || m.role == Primary || r.holds(m, j, now))
+}
+
 // trusted tells whether a node is not set aside. After failures it proves itself by one trip at a time.
 func (m *node) trusted(now int64) bool {
 	return now >= max(m.aside, m.shunned) && (m.failures < distrust || m.held == 0)
@@ -400,13 +414,6 @@
 	return best
 }
 
-func (r *Router) warmth(m *node, now int64) float64 {
-	if m.started == 0 || now >= m.started+r.coldFor {
-		return 1
-	}
-	return r.startShare + (1-r.startShare)*float64(max(now-m.started, 0))/float64(r.coldFor)
-}
-
 // bears tells whether a young node may be sent so much more work: over the rule's span, its warmth's
 // share of what warm nodes bear on average, so that all routers together stay under what it can do. Guards
 // the cold rule for replicas and a young primary; it harms where traffic has just jumped.
@@ -462,34 +469,18 @@
 	}
 }
 
-// Seen tells what this router saw of a node: that it set it aside, or had an answer in the span.
-func (r *Router) Seen(now int64, n int, span int64) (failed, answered bool) {
-	m := &r.nodes[n]
-	return now < m.aside && m.failures >= distrust, m.served > 0 && now-m.served < span
-}
-
 // mayRepeat tells whether another trip is allowed by the job's tariff, wherever it goes in its group.
 func (r *Router) mayRepeat(j *job, now int64) bool {
 	if j.over || len(j.trips) >= j.most || j.out > 0 && (!r.second || j.terms.NoCopies) || now >= j.limit {
 		return false
 	}
-	t, first := &r.tariffs[j.tariff], j.mayHaveRun()
+	t, first := &r.tariffs[j.tariff], j.mayHaveRun(-1)
 	return first == nil || t.Repeat == Reissuable || t.Repeat == Numbered && now <= first.sent+t.Window
 }
 
-// mayHaveRun is the earliest trip left that may have run, or nil.
-func (j *job) mayHaveRun() *trip {
-	for i := range j.trips {
-		if k := &j.trips[i]; k.out || k.ending == Done || k.ending > Moot {
-			return k
-		}
-	}
-	return nil
-}
-
 // circled tells whether the node is in the circle that discards repeats of the job; none leaves its group.
 func (r *Router) circled(j *job, n int32) bool {
-	t, first := &r.tariffs[j.tariff], j.mayHaveRun()
+	t, first := &r.tariffs[j.tariff], j.mayHaveRun(-1)
 	return !j.terms.InZone && (t.Repeat != Numbered || t.Circle != OfZone) || first == nil ||
 		r.nodes[first.node].zone == r.nodes[n].zone
 }
@@ -697,7 +688,7 @@
 		away = min(away, j.terms.AwayMost)
 	}
 	t := &r.tariffs[j.tariff]
-	if t.Repeat == Reissuable || j.mayHaveRun() == nil || t.Repeat == Numbered && t.Circle == OfAll {
+	if t.Repeat == Reissuable || j.mayHaveRun(-1) == nil || t.Repeat == Numbered && t.Circle == OfAll {
 		r.out.Bounce(j.place, away)
 	} else {
 		r.out.Terminate(j.place)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -470,9 +470,27 @@
 	}
 }
 
-// Where lists are pushed asking costs nothing, and what was told counts whether or not it was asked for: the next try never comes
-// later than the first. Elsewhere it comes later each time.
+// Where lists are pushed asking costs nothing, and what was told counts whether or not it was asked for: each try, the first after
+// a start as well, comes well within the grace of a drain. Elsewhere it comes later each time, but never so late that what was
+// missed counts as told before.
 func TestPushedListsAreAskedForSoon(t *testing.T) {
+	for _, every := range []int64{1000 * ms, 10000 * ms, 200000 * ms} {
+		for _, grace := range []int64{100 * ms, 500 * ms, 20000 * ms} {
+			for _, pushed := range []bool{true, false} {
+				c := shop()
+				c.ListOnAsking, c.ListPushed, c.AskEvery, c.DrainGrace, c.ListTold = true, pushed, every, grace, 6000*ms
+				w := newLedger(c, 1)
+				longest := w.r.watchAt - w.now
+				for range 20 {
+					w.r.ListFailed(w.now)
+					longest = max(longest, w.r.watchAt-w.now)
+				}
+				if most := map[bool]int64{true: grace / 4, false: 4500 * ms}[pushed]; longest > most {
+					t.Errorf("pushed: %v, asked each %d ms, grace %d ms: asked again after %d ms at most", pushed, every/ms, grace/ms, longest/ms)
+				}
+			}
+		}
+	}
 	for _, pushed := range []bool{true, false} {
 		c := shop()
 		c.ListOnAsking, c.ListPushed = true, pushed
@@ -487,3 +505,65 @@
 		}
 	}
 }
+
+// Guards against trips that wait for their connection and are as old as that when they begin: a numbered job's repeat behind its
+// window, a read at a replica that was fresh enough when it was chosen, whatever goes to a node that has left.
+func TestBegins(t *testing.T) {
+	begins := func(l *ledger, want bool, what string) {
+		t.Helper()
+		k := l.trips[len(l.trips)-1]
+		if got := l.r.Begins(l.now, k.place, k.leg); got != want || l.broken != "" {
+			t.Errorf("%s: begins %v at node %d; %s", what, got, k.node, l.broken)
+		}
+	}
+	at := func(l *ledger, span int64) { l.now += span }
+
+	l := trio(shop(), 0, 0)
+	l.take(int(Write), 0, 3000*ms, 0)
+	at(l, 600*ms)
+	begins(l, true, "a first trip, later than a window")
+
+	l = trio(shop(), 0, 0)
+	l.take(int(Write), 0, 3000*ms, 0)
+	at(l, 100*ms)
+	finish(l, 0, Broken)
+	want(t, l, 0)
+	at(l, 399*ms)
+	begins(l, true, "a repeat in its window")
+	at(l, 2*ms)
+	begins(l, false, "a repeat behind its window")
+
+	l = trio(shop(), 0, 0)
+	l.take(int(Write), 0, 3000*ms, 0)
+	finish(l, 0, Unreachable)
+	at(l, 501*ms)
+	begins(l, true, "behind the window of a trip that never ran")
+
+	for _, check := range []bool{false, true} {
+		c := shop()
+		c.NodesCheck = check
+		l = trio(c, 100*ms, 100*ms)
+		l.take(int(Bounded), 0, 3000*ms, 0)
+		begins(l, true, "a read as it is chosen")
+		at(l, 299*ms)
+		begins(l, true, "a read in its bound")
+		at(l, 2*ms)
+		begins(l, check, "a read beyond its bound") // where nodes check, they say so
+		n := l.trips[0].node
+		l.heard(n, Replica, l.now-10*ms)
+		begins(l, true, "a read whose replica is fresher by now")
+		l.heard(n, Primary, l.now)
+		at(l, 600*ms)
+		begins(l, true, "a read whose node is the primary by now")
+	}
+
+	l = trio(shop(), 100*ms, 100*ms)
+	l.take(int(Any), 0, 3000*ms, 0)
+	states := []node{{listed: true}, {}, {}}
+	states[l.trips[0].node].standing = Draining
+	l.list(states...)
+	at(l, 499*ms)
+	begins(l, true, "in the grace")
+	at(l, 2*ms)
+	begins(l, false, "behind the grace")
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -15,7 +15,7 @@
 	jobs                                  []job
 	free, waiting                         []Place
 	maxTrips, word                        int
-	second, probes, check, asking, pushed bool
+	second, probes, check, asking         bool
 	whole                                 bool  // the list being told is whole
 	sweep, refresh, useful, away, age     int64 // age: of reports, on average
 	looked, wakeAt                        int64 // when it last looked after what goes by time, and when its alarm rings
@@ -34,7 +34,8 @@
 	borne                                 float64 // work sent over the span to a warm node
 	dearest                               float64 // most earnings for work of any read
 	purse                                 float64 // probes that may be sent
-	watchAt, backoff, leastBackoff        int64   // of asking for the list
+	watchAt, backoff                      int64   // of asking for the list
+	leastBackoff, mostBackoff             int64
 }
 
 // A step says what to do next with a job once a trip of it has ended.
@@ -189,6 +190,16 @@
 	return &r.groups[g]
 }
 
+// mayHaveRun is the earliest trip left that may have run, but for one, or nil.
+func (j *job) mayHaveRun(but int) *trip {
+	for i := range j.trips {
+		if k := &j.trips[i]; i != but && (k.out || k.ending == Done || k.ending > Moot) {
+			return k
+		}
+	}
+	return nil
+}
+
 func (j *job) triedOut(n int32) bool {
 	return slices.ContainsFunc(j.trips, func(k trip) bool { return k.out && k.node == n })
 }
@@ -291,6 +302,14 @@
 	}
 }
 
+// warmth is the part of its strength that a node has by the time since its start.
+func (r *Router) warmth(m *node, now int64) float64 {
+	if m.started == 0 || now >= m.started+r.coldFor {
+		return 1
+	}
+	return r.startShare + (1-r.startShare)*float64(max(now-m.started, 0))/float64(r.coldFor)
+}
+
 // strength is the node's weight, and what it has proved to be beside that, which fades where nobody says so any more.
 func (m *node) strength(now int64, fade int64) float64 {
 	if m.lean == 0 {
@@ -346,3 +365,9 @@
 		m.heardOf, m.lag = now, now-position
 	}
 }
+
+// Seen tells what this router saw of a node: that it set it aside, or had an answer in the span.
+func (r *Router) Seen(now int64, n int, span int64) (failed, answered bool) {
+	m := &r.nodes[n]
+	return now < m.aside && m.failures >= distrust, m.served > 0 && now-m.served < span
+}
--- a/balance/types.go
+++ b/balance/types.go
@@ -54,7 +54,8 @@
 	Probes          bool
 	NodesCheck      bool // nodes turn away reads for which they are too far behind
 	ListOnAsking    bool
-	ListPushed      bool // asking costs nothing: what was told is there already
+	ListPushed      bool  // asking costs nothing: what was told is there already
+	ListTold        int64 // after which a change counts as told, whether or not it was heard; 0: never
 	AskEvery        int64
 	ConnectTimeout  int64
 	KeepAlive       int64 // of idle connections
--- a/cmd/sedgestream/moments_test.go
+++ b/cmd/sedgestream/moments_test.go
@@ -379,3 +379,161 @@
 		t.Error("nothing was bounced by routers about to end")
 	}
 }
+
+// Discovery takes calls and answers none for a while, as a node begins to drain; at its return, just behind a call that is never
+// answered, what it has counts as told. No router begins a job at that node past the grace, though clients ask all the time.
+func TestDrainsAsDiscoveryReturns(t *testing.T) {
+	t.Parallel()
+	const grace = time.Second
+	primary, replica := standin.Pair(t)
+	other := standin.NewNode(t, "copy")
+	var fleets []*standin.Fleet
+	for range 3 {
+		f := newFleet(t, primary, replica, other)
+		f.Whole, f.Calls = true, make(chan time.Time, 1000)
+		f.Contract = strings.NewReplacer(`"askEveryUs":1000000`, `"askEveryUs":10000000`, `"drainGraceUs":500000`, `"drainGraceUs":1000000`,
+			`"probes":true`, `"probes":false`).Replace(standin.Contract)
+		f.Start(os.Args[0])
+		<-f.Watches
+		fleets = append(fleets, f)
+	}
+	var tasks sync.WaitGroup
+	told, stop := make([]time.Time, len(fleets)), make(chan struct{})
+	for i, f := range fleets {
+		tasks.Add(2)
+		go func() {
+			defer tasks.Done()
+			c := f.Open("")
+			c.Expect("empty")
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(5 * time.Millisecond):
+				}
+				q := strings.Replace(standin.View(20000), "id=0", fmt.Sprintf("id=%d", i), 1)
+				if a, err := c.Try(q); err != nil || !strings.HasPrefix(a, "from") {
+					t.Errorf("router %d answered %q, %v", i, a, err)
+					return
+				}
+			}
+		}()
+		go func() {
+			defer tasks.Done()
+			f.Down(true)
+			f.FallSilent()
+			time.Sleep(6 * time.Second)
+			for len(f.Calls) > 0 {
+				<-f.Calls
+			}
+			<-f.Calls // it is never answered
+			time.Sleep(10 * time.Millisecond)
+			f.Down(false)
+			told[i] = time.Now()
+			f.Changes <- `{"version":8,"full":false,"servers":[` + f.Entries("up", "draining", "up") + "]}\n"
+			time.Sleep(time.Until(told[i].Add(3 * grace)))
+		}()
+	}
+	served := func() int { return len(replica.Ledger()) }
+	standin.Until(t, "jobs at the node", func() bool { return served() > 30 })
+	go func() { time.Sleep(12 * time.Second); close(stop) }()
+	tasks.Wait()
+	late := map[int]time.Duration{}
+	for _, r := range replica.Ledger() {
+		if i := int(r.ID[0] - '0'); r.At.After(told[i].Add(grace + 50*time.Millisecond)) {
+			late[i] = max(late[i], r.At.Sub(told[i]))
+		}
+	}
+	if len(late) > 0 {
+		t.Errorf("jobs were begun at the draining node after %v, by router", late)
+	}
+}
+
+// The first trip of a numbered job ends as one that may have run, and the connection for the next takes until its window is over:
+// the repeat is not sent, and the job is terminated. In its window it is.
+func TestRepeatWhoseConnectionComesUpLate(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		window, held time.Duration
+		answer       string
+		runs         int
+	}{{400 * time.Millisecond, 600 * time.Millisecond, "57014", 1}, {20 * time.Second, 600 * time.Millisecond, "from source", 2}} {
+		n := standin.NewNode(t, "source")
+		var jobs, sessions atomic.Int32
+		n.Greet = func(net.Conn) bool {
+			if sessions.Add(1) > 1 {
+				time.Sleep(c.held)
+			}
+			return true
+		}
+		n.Job = func(b *pgproto3.Backend, c net.Conn, _ string) {
+			if jobs.Add(1) == 2 {
+				c.Close()
+				return
+			}
+			n.Row(b, "from source")
+		}
+		f := newFleet(t, n)
+		f.Contract = strings.NewReplacer(`"windowUs":30000000`, fmt.Sprintf(`"windowUs":%d`, c.window.Microseconds()),
+			`"aimUs":80000`, `"aimUs":20000000`, `"probes":true`, `"probes":false`).Replace(standin.Contract)
+		f.Start(os.Args[0])
+		f.Open(standin.Change("order", 20000)).Expect("from source") // so that the primary is known
+		if a := f.Open(standin.Change("order", 20000)).Answer(); a != c.answer || int(jobs.Load()) != 1+c.runs {
+			t.Errorf("window %v: answered %q after %d runs, want %q after %d", c.window, a, jobs.Load()-1, c.answer, c.runs)
+		}
+	}
+}
+
+// A read with a bound is sent to a replica known fresh enough, and its connection comes up when that is no longer so: where nodes
+// don't check, it goes to the primary.
+func TestReadWhoseConnectionComesUpLate(t *testing.T) {
+	t.Parallel()
+	for _, checks := range []string{"none", "await"} {
+		primary, replica := standin.Pair(t)
+		var sessions atomic.Int32
+		held := make(chan struct{})
+		replica.Greet = func(net.Conn) bool {
+			if sessions.Add(1) > 1 {
+				time.Sleep(500 * time.Millisecond)
+			}
+			return true
+		}
+		replica.Job = func(b *pgproto3.Backend, _ net.Conn, q string) {
+			if strings.Contains(q, "c=now") {
+				<-held
+			}
+			b.Send(&pgproto3.ParameterStatus{Name: "as_of", Value: fmt.Sprint(time.Now().UnixMilli())})
+			replica.Row(b, "from copy")
+		}
+		f := newFleet(t, primary, replica)
+		f.Contract = strings.NewReplacer(`{"name":"once"`, `{"name":"now","aimUs":80000,"deadlineUs":30000000,"repeat":"pure","worth":1.0},
+{"name":"once"`, `["eventual","mutate","mutate"]`, `["eventual","mutate","lag_bound","mutate"],"stalenessBoundUs":[0,0,300000,0]`,
+			`"serverChecks":"await"`, fmt.Sprintf(`"serverChecks":%q`, checks)).Replace(standin.Contract)
+		f.Contract = strings.NewReplacer(`"aimUs":80000`, `"aimUs":20000000`, `"probes":true`, `"probes":false`).Replace(f.Contract)
+		f.Start(os.Args[0])
+		bound := func() string { return strings.Replace(standin.View(20000), "c=view", "c=now", 1) }
+		f.Open(standin.Change("once", 20000)).Expect("from source") // so that the primary is known
+		f.Open(standin.View(20000)).Expect("from copy")             // and how far the replica is
+		first := f.Open(bound())                                    // over the connection that is there
+		standin.Until(t, "the first read", func() bool { return len(replica.Got()) == 2 })
+		var others []*standin.Client // those that a lot lets by go over another
+		for range 8 {
+			others = append(others, f.Open(bound()))
+		}
+		standin.Until(t, "another connection", func() bool { return sessions.Load() > 1 })
+		if checks == "await" {
+			close(held)
+		}
+		answers := map[string]int{}
+		for _, c := range others {
+			answers[c.Answer()]++
+		}
+		if other := map[string]string{"none": "from source", "await": "from copy"}[checks]; answers[other] == 0 || answers[other]+answers["53300"] < len(others) {
+			t.Errorf("where nodes check by %q, answered %v", checks, answers)
+		}
+		if checks != "await" {
+			close(held)
+		}
+		first.Expect("from copy")
+	}
+}
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -420,13 +420,21 @@
 	d.router.Probed(d.Now(), node, ok, rep)
 }
 
-// Admits tells whether an order that has waited for its connection may still begin at its node.
+// Admits tells whether what belongs to no job, and has waited for its connection, may still begin at its node.
 func (d *Desk) Admits(node int) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.router.Admits(d.Now(), node)
 }
 
+// Begins tells whether one of the job's trips, which has waited for its connection, may still begin.
+func (t *Ticket) Begins(leg int) bool {
+	d := t.desk
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.router.Begins(d.Now(), t.place, leg)
+}
+
 // Heard tells what another router said.
 func (d *Desk) Heard(from int, words []byte) {
 	d.mu.Lock()
--- a/internal/intake/client.go
+++ b/internal/intake/client.go
@@ -31,9 +31,10 @@
 	need    int // bytes that the message at the front takes, as far as known
 	held    int // bytes of a long query, kept so that they count as long as its job does
 
-	mu    sync.Mutex
-	turns []*turn // whose answers are not out yet
-	left  bool    // nobody reads answers any more
+	mu     sync.Mutex
+	turns  []*turn // whose answers are not out yet
+	saying bool    // the first of them is being written, by the task of some job
+	left   bool    // nobody reads answers any more
 
 	hands     atomic.Int32  // how many turns there are
 	waiting   atomic.Bool   // more has come meanwhile
@@ -148,7 +149,8 @@
 	return n >= mostTurns || c.alone && n > 0
 }
 
-// leave gives up the turns that are left: the client has gone, and nothing more is owed.
+// leave gives up the turns that are left: the client has gone, and nothing more is owed. An answer that is being written to a
+// client that doesn't read does not hold it up.
 func (c *client) leave() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -433,6 +435,13 @@
 	return c.out.Flush(c.sock)
 }
 
+// sayUnlocked writes what the caller, who holds the lock, has the turn for.
+func (c *client) sayUnlocked(parts [][]byte) error {
+	c.mu.Unlock()
+	defer c.mu.Lock()
+	return c.say(parts...)
+}
+
 // idle notes that nothing is in hand since then.
 func (c *client) idle(since int64) {
 	c.idleSince.Store(since)
@@ -454,16 +463,18 @@
 // reply answers what no job was made of, in its turn.
 func (c *client) reply(parts ...[]byte) error {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.turns) == 0 {
+	if len(c.turns) == 0 { // then no job's task writes, nor will one before the next query is read
+		c.mu.Unlock()
 		return c.say(parts...)
 	}
+	defer c.mu.Unlock()
 	c.turns = append(c.turns, &turn{client: c, parts: parts})
 	c.hands.Store(int32(len(c.turns)))
 	return nil
 }
 
-// answer ends a job: its id may be used anew, and its answer goes out once those before it are out.
+// answer ends a job: its id may be used anew, and its answer goes out once those before it are out. Whoever has the first of
+// them writes it, and whatever has its answer by then behind it; the lock is free meanwhile, for the client's own task.
 func (t *turn) answer(parts ...[]byte) {
 	c := t.client
 	c.mu.Lock()
@@ -472,17 +483,22 @@
 		return
 	}
 	c.intake.unclaim(t.id)
-	if t.parts = parts; t != c.turns[0] {
+	if t.parts = parts; c.saying || t != c.turns[0] {
 		t.keep()
+		return
 	}
-	for len(c.turns) > 0 && c.turns[0].parts != nil {
+	for c.saying = true; len(c.turns) > 0 && c.turns[0].parts != nil; {
 		next := c.turns[0]
-		if err := c.say(next.parts...); err != nil {
+		if err := c.sayUnlocked(next.parts); err != nil {
 			c.sock.Close()
 		}
+		if c.left {
+			return
+		}
 		c.intake.budget.Give(next.kept)
 		c.turns = slices.Delete(c.turns, 0, 1)
 	}
+	c.saying = false
 	if len(c.turns) == 0 && !c.waiting.Load() {
 		c.idle(c.intake.desk.Now())
 	}
--- a/internal/intake/moments_test.go
+++ b/internal/intake/moments_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -200,3 +201,87 @@
 	t.Cleanup(func() { near.Close(); far.Close() })
 	return near, far
 }
+
+// A client that ends while an answer is being written to it, which it doesn't read, is noticed at once: what still waits for its
+// connection is not sent for it.
+func TestLeavesUnderAnAnswer(t *testing.T) {
+	n := standin.NewNode(t, "copy")
+	i := door(t, n.Listener.Addr().String())
+	var sessions atomic.Int32
+	greeted, let, answer := make(chan struct{}, 9), make(chan struct{}), make(chan struct{})
+	n.Greet = func(net.Conn) bool {
+		if sessions.Add(1) > 1 {
+			greeted <- struct{}{}
+			<-let
+		}
+		return true
+	}
+	n.Job = func(b *pgproto3.Backend, _ net.Conn, _ string) { <-answer; n.Row(b, strings.Repeat("v", 60<<10)) }
+	far, err := net.Dial("tcp", i.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer far.Close()
+	far.(*net.TCPConn).SetReadBuffer(4 << 10)
+	far.SetDeadline(time.Now().Add(standin.Patience))
+	near, err := i.listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	near.(*net.TCPConn).SetWriteBuffer(4 << 10)
+	c := newClient(i, near)
+	i.clients[c] = struct{}{}
+	go c.live()
+	q := standin.NewClient(t, far)
+	if !q.Greet() {
+		t.Fatal("no welcome")
+	}
+	q.Ask(standin.View(20000))
+	standin.Until(t, "the first job at the node", func() bool { return len(n.Got()) == 1 })
+	q.Ask(standin.View(20000))
+	<-greeted
+	close(answer)
+	standin.Until(t, "an answer that is not read", func() bool { return ring.Unsent(near) > 0 })
+	time.Sleep(100 * time.Millisecond) // as much of it has gone out as will
+	far.(*net.TCPConn).CloseWrite()
+	time.Sleep(300 * time.Millisecond) // from then on nothing may be sent for it
+	close(let)
+	standin.Until(t, "its jobs to end", func() bool { return i.desk.InHand() == 0 })
+	if jobs := n.Got(); len(jobs) != 1 {
+		t.Errorf("%d jobs were sent for a client that had left", len(jobs)-1)
+	}
+}
+
+// Queries that come while an answer is being written become jobs, and are answered behind it, each whole and in its turn.
+func TestQueriesUnderAnAnswer(t *testing.T) {
+	n := standin.NewNode(t, "copy")
+	i := door(t, n.Listener.Addr().String())
+	n.Job = func(b *pgproto3.Backend, _ net.Conn, q string) {
+		n.Row(b, standin.Job(q)+strings.Repeat("v", 60<<10))
+	}
+	near, far := pair(t)
+	near.SetWriteBuffer(4 << 10)
+	c := newClient(i, near)
+	i.clients[c] = struct{}{}
+	go c.live()
+	q := standin.NewClient(t, far)
+	if !q.Greet() {
+		t.Fatal("no welcome")
+	}
+	var ids []string
+	for range 12 { // as many as there is memory for, and one after the other, as the node is thought to hold few
+		view := standin.View(20000)
+		ids = append(ids, standin.Job(view))
+		q.Ask(view)
+		q.Ask("") // answered without a job, in its turn
+		standin.Until(t, "its job to be done", func() bool { return len(n.Got()) == len(ids) && i.desk.InHand() == 0 })
+	}
+	for _, id := range ids {
+		if a := q.Answer(); !strings.HasPrefix(a, id+"v") || len(a) != len(id)+60<<10 {
+			t.Fatalf("answered %.20q of %d bytes, want that of %s", a, len(a), id)
+		}
+		q.Expect("empty")
+	}
+	far.Close()
+	standin.Until(t, "its connection to end", func() bool { return i.Clients() == 0 })
+}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -29,13 +29,14 @@
 type Trip interface {
 	// Revoke makes it end soon, as revoked unless it has ended otherwise.
 	Revoke()
-	// Recall makes it end as never sent if its first byte has not been written yet; else it changes nothing.
+	// Recall makes it end as never sent if its last byte has not been written yet; else it changes nothing.
 	Recall()
 }
 
 // Sender sends trips of one job. It never blocks, and calls back exactly once for each, from anywhere.
 type Sender interface {
-	Send(node int, until int64, back func(End)) Trip
+	// Once a trip has waited, it asks whether it may still begin; if not, it ends as never sent.
+	Send(node int, until int64, begins func() bool, back func(End)) Trip
 }
 
 // Begin takes a job in. Its life is what follows here, from top to bottom: the module decides at the points
@@ -58,7 +59,8 @@
 				ticket.Ended(leg, balance.Broken, 0, balance.Note{}, balance.Report{})
 			}
 		}()
-		trips[leg] = sender.Send(node, until, func(e End) {
+		begins := func() bool { return ticket.Begins(leg) }
+		trips[leg] = sender.Send(node, until, begins, func(e End) {
 			ticket.Post(func() {
 				// An ending is the module's to judge: another trip, an answer, or nothing as one has been given.
 				if ticket.Ended(leg, e.Ending, e.Took, e.Note, e.Report) {
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -33,7 +33,7 @@
 func (r recalled) Revoke() {}
 func (r recalled) Recall() { *r.n++ }
 
-func (s *sender) Send(_ int, _ int64, back func(End)) Trip {
+func (s *sender) Send(_ int, _ int64, _ func() bool, back func(End)) Trip {
 	s.sent++
 	s.on(back)
 	return s.recalled
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -26,12 +26,16 @@
 
 // As the protocol page has it: an empty line comes every 2 s while nothing changes. A watch that brings nothing for half as
 // long again has broken, and so has a list that has begun and does not end; a call is answered at once, or not at all. What a
-// silent watch misses counts as told 6 s later: that leaves time for two more calls, one of which may hang as well.
+// silent watch misses counts as told 6 s later: that leaves time for two more calls, one of which may hang as well. Where lists
+// are pushed, what discovery has counts as told at its return: a call without an answer is not waited for alone then.
 const (
 	path    = "/discovery/hosts"
 	beat    = 2 * time.Second
 	silence = beat + beat/2
 	atOnce  = beat / 2
+
+	// Told is after how long a change counts as told, whether or not it was heard.
+	Told = 3 * beat
 )
 
 // mostHeader is what the head of an answer may hold.
@@ -76,9 +80,11 @@
 
 // Lister asks discovery, at one address at a time.
 type Lister struct {
-	connect atomic.Int64 // nanoseconds for a connection to come up
-	desk    *desk.Desk
-	log     *zap.Logger
+	// Nanoseconds for a connection to come up, and after which the module is told that a call is not answered; 0: not before
+	// its end, where calls are no matter of course.
+	connect, hesitates atomic.Int64
+	desk               *desk.Desk
+	log                *zap.Logger
 
 	mu    sync.Mutex
 	at    *place                // nil once closed
@@ -90,20 +96,28 @@
 type place struct {
 	address string
 	version int64
-	strange bool // it has not told the whole list yet, or told something wrong since
-	asking  bool // for the whole list, beside the watch
+	strange bool     // it has not told the whole list yet, or told something wrong since
+	asking  bool     // for the whole list, beside the watch
+	watch   net.Conn // the one that stands, if any
 }
 
 // New tells the list that the router had before it started.
-func New(address string, known List, connect time.Duration, d *desk.Desk, log *zap.Logger) *Lister {
+func New(address string, known List, c *balance.Contract, d *desk.Desk, log *zap.Logger) *Lister {
 	d.List(known.Version, true, known.Rows)
 	l := &Lister{desk: d, log: log, at: &place{address: address, version: known.Version}, calls: map[net.Conn]struct{}{}}
-	l.Heed(connect)
+	l.Heed(c)
 	return l
 }
 
-// Heed has calls wait for so long from now on until they are connected.
-func (l *Lister) Heed(connect time.Duration) { l.connect.Store(int64(connect)) }
+// Heed has calls keep to a contract from now on.
+func (l *Lister) Heed(c *balance.Contract) {
+	l.connect.Store(c.ConnectTimeout)
+	hesitates := int64(0)
+	if c.ListPushed {
+		hesitates = max(int64(atOnce)/8, min(int64(atOnce), c.DrainGrace)/4) // so that few are under way at a time
+	}
+	l.hesitates.Store(hesitates)
+}
 
 // Move has the list asked for at another address from now on. What is still on the way from the old one is dropped.
 func (l *Lister) Move(address string) {
@@ -128,22 +142,54 @@
 func (l *Lister) Watch() {
 	l.mu.Lock()
 	at := l.at
-	strange := at != nil && at.strange
-	l.mu.Unlock()
-	if at == nil {
+	if at == nil || at.watch != nil {
+		l.mu.Unlock()
 		return
 	}
-	err := io.EOF
+	strange := at.strange
+	l.mu.Unlock()
+	// Guards against calls that are never answered, as discovery was down when they came: another is made beside them, and
+	// whichever is answered first becomes the watch. Each try has the module told once until it is that.
+	var told sync.Once
+	err, failed := io.EOF, func(words string, err error) { told.Do(func() { l.failed(at, words, err) }) }
+	late := func() { failed("discovery does not answer at once", nil) }
 	if strange {
-		err = l.follow(at, path, false)
+		err = l.follow(at, path, late)
 	}
 	if err == io.EOF {
 		l.mu.Lock()
 		target := fmt.Sprintf("%s?stream=1&index=%d", path, at.version)
 		l.mu.Unlock()
-		err = l.follow(at, target, true)
+		var c *call
+		if c, err = l.call(at, target, late); err == nil {
+			if !l.stands(at, c.sock) {
+				l.over(c.sock)
+				return // another was sooner
+			}
+			err = l.lists(at, c, true)
+			l.falls(at)
+			l.over(c.sock)
+			l.failed(at, "the watch on the list ended", err)
+			return
+		}
+	}
+	failed("the watch on the list ended", err)
+}
+
+// stands has a connection be the watch, unless there is one.
+func (l *Lister) stands(at *place, sock net.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if at.watch == nil {
+		at.watch = sock
 	}
-	l.failed(at, "the watch on the list ended", err)
+	return at.watch == sock
+}
+
+func (l *Lister) falls(at *place) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at.watch = nil
 }
 
 // Lookup asks once for the whole list.
@@ -154,13 +200,13 @@
 	if at == nil {
 		return
 	}
-	if err := l.follow(at, path, false); err != nil && err != io.EOF {
+	if err := l.follow(at, path, nil); err != nil && err != io.EOF {
 		l.failed(at, "asking for the list failed", err)
 	}
 }
 
 // doubt has the whole list asked for at once, since a wrong one may have held what nobody tells again. The watch goes on
-// beside that, and begins by the whole list when it is opened anew, unless that has come by then.
+// beside that. If the whole list does not come, the watch ends, and begins by it when it is opened anew.
 func (l *Lister) doubt(at *place) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -171,11 +217,14 @@
 	l.tasks.Add(1)
 	go func() {
 		defer l.tasks.Done()
-		err := l.follow(at, path, false)
+		err := l.follow(at, path, nil)
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		if at.asking = false; l.at == at && err != io.EOF {
 			l.log.Warn("asking for the whole list after a wrong one failed", zap.Error(err))
+			if at.watch != nil {
+				at.watch.Close()
+			}
 		}
 	}()
 }
@@ -199,8 +248,8 @@
 	l.tasks.Wait()
 }
 
-// stands tells whether the list is still asked for there; the call is then among those that Close and Move end.
-func (l *Lister) stands(at *place, sock net.Conn) bool {
+// counts tells whether the list is still asked for there; the call is then among those that Close and Move end.
+func (l *Lister) counts(at *place, sock net.Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.at == at {
@@ -216,30 +265,60 @@
 	delete(l.calls, sock)
 }
 
-// follow sends one request and takes in each list of its answer. It gives io.EOF once that is whole.
-func (l *Lister) follow(at *place, target string, watch bool) error {
-	sock, err := net.DialTimeout("tcp", at.address, time.Duration(l.connect.Load()))
+// follow asks for the whole list once. It gives io.EOF once that has come whole; late is told of a call that is not answered
+// at once, if anybody wants to know.
+func (l *Lister) follow(at *place, target string, late func()) error {
+	c, err := l.call(at, target, late)
 	if err != nil {
 		return err
 	}
-	defer l.over(sock)
-	if !l.stands(at, sock) {
-		return net.ErrClosed
+	defer l.over(c.sock)
+	return l.lists(at, c, false)
+}
+
+// call is one whose answer has begun.
+type call struct {
+	sock net.Conn
+	in   *source
+	body io.Reader
+}
+
+// call sends one request and reads the head of its answer.
+func (l *Lister) call(at *place, target string, late func()) (c *call, err error) {
+	if after := time.Duration(l.hesitates.Load()); late != nil && after > 0 {
+		defer time.AfterFunc(after, late).Stop()
+	}
+	sock, err := net.DialTimeout("tcp", at.address, time.Duration(l.connect.Load()))
+	if err != nil {
+		return nil, err
+	}
+	defer func() {
+		if err != nil {
+			l.over(sock)
+		}
+	}()
+	if !l.counts(at, sock) {
+		return nil, net.ErrClosed
 	}
 	out := ring.New(ring.First, ring.First, nil)
 	fmt.Fprintf(out, "GET %s HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n", target, at.address)
 	sock.SetWriteDeadline(time.Now().Add(time.Duration(l.connect.Load())))
-	if err := out.Flush(sock); err != nil {
-		return err
+	if err = out.Flush(sock); err != nil {
+		return nil, err
 	}
 	in := &source{sock: sock, ring: ring.New(ring.First, ring.First, nil), until: time.Now().Add(atOnce)}
 	body, err := answer(bufio.NewReader(in))
 	if err != nil {
-		return err
+		return nil, err
 	}
-	lists := &lists{r: bufio.NewReaderSize(body, ring.First)}
-	lists.begins = func() { in.until = time.Now().Add(silence) }
-	lists.ends = func() { in.until = time.Time{} }
+	return &call{sock, in, body}, nil
+}
+
+// lists takes in each list of an answer, and gives io.EOF once that is whole.
+func (l *Lister) lists(at *place, c *call, watch bool) error {
+	lists := &lists{r: bufio.NewReaderSize(c.body, ring.First)}
+	lists.begins = func() { c.in.until = time.Now().Add(silence) }
+	lists.ends = func() { c.in.until = time.Time{} }
 	if lists.ends(); !watch {
 		lists.begins() // the only one, which comes at once
 	}
--- a/internal/list/moments_test.go
+++ b/internal/list/moments_test.go
@@ -147,7 +147,7 @@
 	nodes := reach{}
 	d := desk.Open(&contract.Contract{Contract: balance.Contract{ListOnAsking: true, AskEvery: int64(time.Second),
 		Tariffs: []balance.Tariff{{ContractTime: int64(time.Second / 10), Earnings: 1}}}}, 1, nodes, zap.NewNop())
-	l := New(at, List{Version: 7}, time.Second, d, zap.New(core))
+	l := New(at, List{Version: 7}, &balance.Contract{ConnectTimeout: int64(time.Second)}, d, zap.New(core))
 	t.Cleanup(l.Close)
 	return l, d, nodes, logs
 }
@@ -234,7 +234,7 @@
 		more int
 		want error
 	}{{listOf(8, "up"), 0, io.EOF}, {listOf(9, "up"), 1, io.ErrUnexpectedEOF}, {listOf(9, "up")[:40], 40, io.ErrUnexpectedEOF}} {
-		go func() { got <- l.follow(l.at, path, false) }()
+		go func() { got <- l.follow(l.at, path, nil) }()
 		d.call("", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(c.body)+c.more, c.body)).Close()
 		if err := <-got; err != c.want {
 			t.Errorf("%d bytes less than said: %v, want %v", c.more, err, c.want)
@@ -319,3 +319,90 @@
 		}
 	}
 }
+
+// pushed has a lister keep to a contract where discovery is this machine's own.
+func (l *Lister) pushed() {
+	l.Heed(&balance.Contract{ConnectTimeout: int64(time.Second), ListPushed: true, DrainGrace: int64(time.Second)})
+}
+
+// asks tells within how long the module has the list asked for once more; below 0: not within the time given.
+func asks(d *desk.Desk, most time.Duration) time.Duration {
+	for begun := time.Now(); time.Since(begun) < most; time.Sleep(time.Millisecond) {
+		if d.Collect().Watch {
+			return time.Since(begun)
+		}
+	}
+	return -1
+}
+
+// A call that came while discovery was down is never answered: another is made beside it long before it is given up. The first
+// that is answered is the watch; the others end, and nobody is told of that.
+func TestCallBesideOneThatHangs(t *testing.T) {
+	for _, sooner := range []int{0, 1} {
+		d := newDiscovery(t)
+		l, desk, nodes, _ := newLister(t, d.l.Addr().String())
+		l.pushed()
+		asks(desk, time.Second) // at the start
+		var overs []<-chan time.Duration
+		var socks []net.Conn
+		for i := range 2 {
+			overs = append(overs, began(l.Watch))
+			socks = append(socks, d.call("?stream=1&index=7", ""))
+			if took := asks(desk, atOnce); i == 0 && (took < 0 || took > 3*atOnce/4) {
+				t.Fatalf("another call is asked for after %v", took)
+			}
+		}
+		io.WriteString(socks[sooner], streamHead+listOf(8, "up")+"\n")
+		until(t, "the list", func() bool { l.mu.Lock(); defer l.mu.Unlock(); return len(nodes) == 1 })
+		io.WriteString(socks[1-sooner], streamHead)
+		ends(t, "the other call", overs[1-sooner], 0, atOnce)
+		if took := began(l.Watch); <-took > atOnce/2 {
+			t.Error("a watch is opened beside the one that stands")
+		}
+		for end := time.Now().Add(silence + beat); time.Now().Before(end); time.Sleep(beat / 2) {
+			io.WriteString(socks[sooner], "\n")
+		}
+		select {
+		case <-overs[sooner]:
+			t.Error("the watch that stands has ended")
+		default:
+		}
+		desk.Collect() // of the call before
+		socks[sooner].Close()
+		until(t, "the watch to end", func() bool { return len(overs[sooner]) > 0 })
+		if asks(desk, time.Second) < 0 {
+			t.Error("the end of the watch is told to nobody")
+		}
+	}
+}
+
+// Where calls cost, none is made beside another.
+func TestCallsThatCostAreAwaited(t *testing.T) {
+	d := newDiscovery(t)
+	l, desk, _, _ := newLister(t, d.l.Addr().String())
+	asks(desk, time.Second)
+	over := began(l.Watch)
+	d.call("?stream=1&index=7", "")
+	if took := asks(desk, atOnce*3/4); took >= 0 {
+		t.Errorf("another call after %v", took)
+	}
+	ends(t, "the call", over, 0, 2*atOnce)
+}
+
+// Where the whole list does not come after a wrong one, the watch is ended, and what it may have missed is asked for anew.
+func TestWholeListThatDoesNotCome(t *testing.T) {
+	d := newDiscovery(t)
+	l, desk, _, _ := newLister(t, d.l.Addr().String())
+	asks(desk, time.Second)
+	over := began(l.Watch)
+	d.call("?stream=1&index=7", streamHead+"nonsense\n")
+	d.call("", "HTTP/1.1 503 no\r\n\r\n").Close()
+	ends(t, "the watch", over, 0, beat/2)
+	if asks(desk, 2*time.Second) < 0 {
+		t.Fatal("nobody asks again")
+	}
+	over = began(l.Watch)
+	d.call("", streamHead+listOf(9, "up")).Close()
+	d.call("?stream=1&index=9", streamHead).Close()
+	ends(t, "the next watch", over, 0, time.Second)
+}
--- a/internal/service/reload.go
+++ b/internal/service/reload.go
@@ -73,7 +73,7 @@
 		return err
 	}
 	s.nodes.Heed(&p.Contract.Contract)
-	s.list.Heed(time.Duration(p.Contract.ConnectTimeout))
+	s.list.Heed(&p.Contract.Contract)
 	changed := s.posting.differing(p)
 	s.posting.Contract, s.posting.Settings = p.Contract, p.Settings
 	s.talk(p.Contract.RoutersTalk)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -188,7 +188,7 @@
 			}
 		}
 	}
-	s.list = list.New(p.Discovery, p.Known, time.Duration(c.ConnectTimeout), s.desk, s.log)
+	s.list = list.New(p.Discovery, p.Known, &c.Contract, s.desk, s.log)
 	book, err := s.readTerms(p, nil)
 	if err != nil {
 		return fmt.Errorf("the terms are wrong:\n%w", err)
--- a/internal/service/start.go
+++ b/internal/service/start.go
@@ -94,7 +94,7 @@
 	}
 	settings := field.Object(v, "settings")
 	p.Contract = contract.Read(settings)
-	p.Contract.ListOnAsking = true // on sockets the list always has to be asked for
+	p.Contract.ListOnAsking, p.Contract.ListTold = true, int64(list.Told) // on sockets the list always has to be asked for
 	p.Zone = field.Str(settings, "locality", false)
 	p.Settings = map[string]string{}
 	settings.GetObject().Visit(func(key []byte, member *fastjson.Value) { p.Settings[string(key)] = member.String() })
--- a/internal/trip/conn.go
+++ b/internal/trip/conn.go
@@ -33,6 +33,9 @@
 
 func (c *conn) poke() { c.sock.SetReadDeadline(ring.Past) }
 
+// glance is how long an answer may take to be read that was there in time. It is far under what is kept for the ways to clients.
+const glance = time.Millisecond
+
 // live opens the connection and carries one order after the other.
 func (c *conn) live(o *order) {
 	defer func() {
@@ -57,7 +60,13 @@
 		c.finish(o, c.unsent(o), &pg.Answer{})
 		return
 	}
-	if d := c.nodes.Desk; d != nil && !d.Admits(o.node) { // its node has left while the connection came up
+	if c.hasMoved() {
+		c.close()
+		c.carries = nil
+		c.nodes.start(o, true)
+		return
+	}
+	if o.begins != nil && !o.begins() { // while the connection came up its node has left, or data or a window have aged
 		o.Recall()
 	}
 	for o != nil {
@@ -70,6 +79,13 @@
 	}
 }
 
+// hasMoved tells whether the node is elsewhere by now: who listens where it was may be another.
+func (c *conn) hasMoved() bool {
+	c.nodes.mu.Lock()
+	defer c.nodes.mu.Unlock()
+	return c.address != c.node.address
+}
+
 // unsent is the ending of a trip whose last byte was never written.
 func (c *conn) unsent(o *order) balance.Ending {
 	if o.isRevoked() {
@@ -148,7 +164,10 @@
 		return true
 	}
 	c.close()
-	if o.isRevoked() && ending > balance.Moot && !answer.Whole {
+	switch {
+	case ending == balance.Unreachable && o.isOff():
+		ending = balance.Moot
+	case o.isRevoked() && ending > balance.Moot && !answer.Whole:
 		ending = balance.Revoked
 	}
 	c.finish(o, ending, answer)
@@ -175,7 +194,8 @@
 	if err := c.send(o); err != nil {
 		return balance.Unreachable, a // the last byte was never written
 	}
-	for {
+	o.wrote(c.sock)
+	for looked := false; ; {
 		kind, body, size, err := pg.Message(c.in)
 		switch {
 		case err != nil:
@@ -190,6 +210,10 @@
 		switch {
 		case err == nil:
 			continue
+		case errors.Is(err, os.ErrDeadlineExceeded) && !looked && !o.isRevoked() && ring.Pending(c.sock):
+			looked = true // what has come by then counts: a read that a deadline wakes has not looked
+			c.sock.SetReadDeadline(time.Now().Add(glance))
+			continue
 		case errors.Is(err, pg.ErrMalformed):
 			c.nodes.log.Warn("a node answered nonsense", zap.String("node", c.node.name))
 		case a.Settled():
--- a/internal/trip/moments_test.go
+++ b/internal/trip/moments_test.go
@@ -1,7 +1,9 @@
 package trip
 
 import (
+	"io"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -194,3 +196,131 @@
 		}
 	}
 }
+
+// A node that is elsewhere as its connection comes up gets the order there: who listens where it was may be another by now.
+func TestMovesWhileAConnectionComesUp(t *testing.T) {
+	was, is := standin.NewNode(t, "source"), standin.NewNode(t, "source")
+	greeted, let := make(chan struct{}, 9), make(chan struct{})
+	was.Greet = func(net.Conn) bool { greeted <- struct{}{}; <-let; return true }
+	s := among(was)
+	_, ends := s.send(t, standin.Patience)
+	<-greeted
+	s.Reach(0, "s-0", is.Listener.Addr().String())
+	close(let)
+	ended(t, ends, balance.Done, 5*time.Second)
+	if a, b := len(was.Got()), len(is.Got()); a != 0 || b != 1 {
+		t.Errorf("%d orders went where the node was, %d where it is", a, b)
+	}
+	standin.Until(t, "one connection", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.open == 1 })
+}
+
+// What may not begin any more as its connection is up ends as never sent, and the connection serves the next.
+func TestMayNotBeginAnyMore(t *testing.T) {
+	n := standin.NewNode(t, "source")
+	s := among(n)
+	ends := make(chan job.End, 1)
+	o := &order{statement: statement(t), until: time.Now().Add(standin.Patience), sent: time.Now(), back: func(e job.End) { ends <- e },
+		begins: func() bool { return false }}
+	s.start(o, false)
+	ended(t, ends, balance.Moot, 5*time.Second)
+	standin.Until(t, "the connection to be idle", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return len(s.nodes[0].idle) == 1 })
+	if jobs := n.Got(); len(jobs) != 0 {
+		t.Fatalf("the node got %q", jobs)
+	}
+	_, ends = s.send(t, standin.Patience)
+	ended(t, ends, balance.Done, 5*time.Second)
+}
+
+// A long order that is being written to a node which does not read ends as never sent when its client leaves: else its last byte
+// would go out whenever the node reads on.
+func TestRecalledWhileBeingWritten(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	come := make(chan net.Conn, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		b := pgproto3.NewBackend(c, c)
+		b.ReceiveStartupMessage()
+		b.Send(&pgproto3.AuthenticationOk{})
+		b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+		b.Flush()
+		come <- c
+	}()
+	s := New(&balance.Contract{ConnectTimeout: int64(standin.Patience), KeepAlive: int64(standin.Patience)}, Limits{Connections: 9}, zap.NewNop())
+	s.Reach(0, "s-0", l.Addr().String())
+	query := strings.Replace(standin.Change("once", 20000), `\x9f03`, `\x`+strings.Repeat("ab", 8<<20), 1)
+	long, err := pg.ReadStatement([]byte(query))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ends := make(chan job.End, 1)
+	o := &order{statement: long, until: time.Now().Add(standin.Patience), sent: time.Now(), back: func(e job.End) { ends <- e }}
+	s.start(o, false)
+	far := <-come
+	defer far.Close()
+	far.Read(make([]byte, 1)) // its writing has begun
+	o.Recall()
+	ended(t, ends, balance.Moot, 5*time.Second)
+	if n, _ := io.Copy(io.Discard, far); n >= int64(len(query)) {
+		t.Errorf("%d bytes of %d were sent all the same", n, len(query))
+	}
+}
+
+// An answer that has come by the end of its trip's time counts, though the deadline wakes the read before it has looked.
+func TestAnswerAsItsTimeEnds(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	far, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer far.Close()
+	near, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := standin.NewNode(t, "source") // only to be named
+	s := among(n)
+	for _, there := range []bool{true, false} {
+		o := &order{statement: statement(t), until: time.Now().Add(50 * time.Millisecond), sent: time.Now()}
+		c := &conn{nodes: s, node: s.nodes[0], address: s.nodes[0].address, in: ring.New(ring.First, ring.First, nil), out: ring.New(ring.First, ring.First, nil)}
+		c.sock = &asleep{near.(*net.TCPConn), func() {
+			if there {
+				b := pgproto3.NewBackend(far, far)
+				n.Row(b, "v")
+				standin.Until(t, "the answer", func() bool { return ring.Pending(near) })
+			}
+			time.Sleep(time.Until(o.until) + time.Millisecond)
+		}}
+		want := balance.TimedOut
+		if there {
+			want = balance.Done
+		}
+		if ending, _ := c.exchange(o); ending != want {
+			t.Errorf("an answer is there: %v, and the trip ends as %v", there, ending)
+		}
+	}
+}
+
+// asleep is a socket whose first read begins late.
+type asleep struct {
+	*net.TCPConn
+	first func()
+}
+
+func (a *asleep) Read(p []byte) (int, error) {
+	if f := a.first; f != nil {
+		a.first = nil
+		f()
+	}
+	return a.TCPConn.Read(p)
+}
--- a/internal/trip/nodes.go
+++ b/internal/trip/nodes.go
@@ -104,6 +104,7 @@
 	node      int
 	statement *pg.Statement // nil for a probe
 	until     time.Time
+	begins    func() bool // once it has waited: whether it may still begin
 	back      func(job.End)
 
 	mu       sync.Mutex
@@ -111,6 +112,7 @@
 	revoked  bool
 	recalled bool
 	left     bool     // its writing has begun
+	written  bool     // and its last byte is written
 	sock     net.Conn // that carries it
 }
 
@@ -121,8 +123,8 @@
 }
 
 // Send implements job.Sender.
-func (c Cargo) Send(n int, until int64, back func(job.End)) job.Trip {
-	o := &order{node: n, statement: c.Statement, until: c.Nodes.Desk.Time(until), back: back, sent: time.Now()}
+func (c Cargo) Send(n int, until int64, begins func() bool, back func(job.End)) job.Trip {
+	o := &order{node: n, statement: c.Statement, until: c.Nodes.Desk.Time(until), begins: begins, back: back, sent: time.Now()}
 	c.Nodes.start(o, false)
 	return o
 }
@@ -131,9 +133,9 @@
 // connection and one for the answer.
 func (s *Nodes) Probe(n int) {
 	now := time.Now()
-	s.start(&order{node: n, until: now.Add(2 * time.Duration(s.connect.Load())), sent: now, back: func(e job.End) {
-		s.Desk.Probed(n, e.Ending == balance.Done, e.Report)
-	}}, false)
+	s.start(&order{node: n, until: now.Add(2 * time.Duration(s.connect.Load())), sent: now,
+		begins: func() bool { return s.Desk.Admits(n) },
+		back:   func(e job.End) { s.Desk.Probed(n, e.Ending == balance.Done, e.Report) }}, false)
 }
 
 // start hands an order to the idle connection used last, or to a new one.
@@ -232,11 +234,24 @@
 	return o.revoked || o.recalled
 }
 
-// Recall implements job.Trip. A connection that comes up for the order goes on to do so, for others.
+// wrote has the order wait for its answer: its last byte is written, and a recall comes too late.
+func (o *order) wrote(sock net.Conn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.written = true; o.recalled && !o.revoked {
+		o.recalled = false
+		sock.SetDeadline(o.until)
+	}
+}
+
+// Recall implements job.Trip. A connection that comes up for the order goes on to do so, for others; one that writes it, to a
+// node that does not read, ends.
 func (o *order) Recall() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.recalled = !o.left
+	if o.recalled = !o.written; o.recalled && o.left {
+		o.sock.SetDeadline(ring.Past)
+	}
 }
 
 // Revoke implements job.Trip.
