A whole list that was overtaken is asked for again; a forwarder that ends takes its trips along

Seen, as new tests were played 20 times beside a busy machine: the whole list that is asked for after a wrong one came behind a change on the watch and was dropped as older, so what the wrong one had held was never told. Lines: doubt in internal/list/list.go, which asked once. Now it is asked for again where a change or another wrong list came behind the call [TestWholeListOvertaken fails without the loop].

Of even load: planners count a forwarder's last word no more once it has left (Ledger.Gone was called by nobody) [TestLeaverTakesItsLoadAlong, processes: 2.28 trips of a router that had left, 3 s later, without it]; a node whose clock was ahead is told of again as it is right, and positions in the future are not told on [TestClockAhead, TestPositionsAhead].

--- a/internal/decide/share/share.go
+++ b/internal/decide/share/share.go
@@ -91,9 +91,9 @@
 	}
 }
 
-// Shown notes what a node has said of itself.
+// Shown notes what a node has said of itself: the furthest since the last reading.
 func (m *Meter) Shown(now int64, n int, shown Shown) {
-	if s := m.slot(now, n); shown.Position > s.shown.Position {
+	if s := m.slot(now, n); !s.news || shown.Position > s.shown.Position {
 		s.shown, s.news = shown, true
 	}
 }
@@ -242,7 +242,8 @@
 			l.nodes[p.Mark] = t
 		}
 		t.seen, t.group, t.weight = now, p.Group, max(float64(p.Weight), 1e-3)
-		if p.Shown != nil && p.Shown.Position > t.shown.Position {
+		// The furthest is the newest. Guards against a node whose clock was ahead: what it said then is not kept for ever.
+		if p.Shown != nil && (p.Shown.Position > t.shown.Position || now-t.shownAt > fresh*l.period) {
 			t.shown, t.shownAt = *p.Shown, now
 		}
 	}
--- a/internal/decide/share/share_test.go
+++ b/internal/decide/share/share_test.go
@@ -267,3 +267,30 @@
 		t.Errorf("%d nodes are kept", len(v.of))
 	}
 }
+
+// A node whose clock was ahead for a while is believed again once nobody says so any more, and not when that time has come.
+func TestClockAhead(t *testing.T) {
+	const period = 100 * ms
+	now := int64(1e12)
+	m, l := NewMeter(now), NewLedger(period)
+	say := func(position int64) int64 {
+		now += period
+		m.Shown(now, 0, Shown{Position: position})
+		m.Shown(now, 0, Shown{Position: position - ms}) // an older answer that comes later
+		l.Heard(now, 1, m.Read(now, func(_ int, p *Part) { p.Mark = 7 }))
+		return l.Digest(now, 1)[0].Shown.Position
+	}
+	if got := say(now); got > now {
+		t.Fatal(got)
+	}
+	ahead := now + 3600_000*ms
+	if got := say(ahead); got != ahead {
+		t.Fatalf("%d of %d", got, ahead)
+	}
+	for range fresh + 2 {
+		if got := say(now); got <= now {
+			return
+		}
+	}
+	t.Error("it is told to be ahead though it no longer says so")
+}
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -127,3 +127,23 @@
 		})
 	}
 }
+
+// What a node says of itself is told on, but for a position in the future, which nobody believes.
+func TestPositionsAhead(t *testing.T) {
+	d := Open(&contract.Contract{Contract: balance.Contract{Tick: 1e6, MaxTrips: 2, ConnectTimeout: 1e9, KeepAlive: 1e9, Probes: true,
+		Tariffs: []balance.Tariff{{ContractTime: 1e9, Earnings: 1}}}}, 1, nowhere{}, zap.NewNop())
+	d.Planned()
+	d.Metered()
+	d.List(0, true, []Row{{ID: "a", Weight: 1, Group: 7}})
+	told := func(position int64) bool {
+		d.Probed(0, true, balance.Report{Given: true, Position: position, Role: balance.Replica, Held: -1})
+		parts := d.Loads()
+		return len(parts) == 1 && parts[0].Shown != nil && parts[0].Shown.Position == position
+	}
+	if told(d.Now() + int64(time.Hour)) {
+		t.Error("a position ahead is told on")
+	}
+	if !told(d.Now() - 1) {
+		t.Error("a position is not told on")
+	}
+}
--- a/internal/desk/loads.go
+++ b/internal/desk/loads.go
@@ -58,9 +58,9 @@
 	}
 }
 
-// metered notes what a node has shown of itself, for others.
+// metered notes what a node has shown of itself, for others. A position in the future is believed by nobody, and not told.
 func (d *Desk) metered(n int, rep balance.Report) {
-	if rep.Given && rep.Position > 0 && rep.Role != balance.Unknown {
+	if rep.Given && rep.Position > 0 && rep.Position <= d.Now() && rep.Role != balance.Unknown {
 		d.meter.Shown(d.Now(), n, share.Shown{Position: rep.Position, Primary: rep.Role == balance.Primary, Busy: float32(max(0, rep.Busy))})
 	}
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -101,13 +101,13 @@
 	}
 }
 
-// Close ends all.
+// Close ends all, and says that this router has left: it has no trip out any more.
 func (s *Links) Close() {
 	close(s.stop)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, l := range s.links {
-		l.Sock.Close()
+		l.Bye(errors.New(words.Left))
 	}
 }
 
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -98,6 +98,7 @@
 	version int64
 	strange bool     // it has not told the whole list yet, or told something wrong since
 	asking  bool     // for the whole list, beside the watch
+	doubts  int      // how often something wrong has come
 	watch   net.Conn // the one that stands, if any
 }
 
@@ -206,20 +207,28 @@
 }
 
 // doubt has the whole list asked for at once, since a wrong one may have held what nobody tells again. The watch goes on
-// beside that. If the whole list does not come, the watch ends, and begins by it when it is opened anew.
+// beside that. One that was asked for before the last wrong one came, or that the watch has overtaken by changes, is asked for
+// once more. If the whole list does not come, the watch ends, and begins by it when it is opened anew.
 func (l *Lister) doubt(at *place) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.at != at || at.asking {
+	at.doubts++
+	if at.strange = true; l.at != at || at.asking {
 		return
 	}
-	at.strange, at.asking = true, true
+	at.asking = true
 	l.tasks.Add(1)
 	go func() {
 		defer l.tasks.Done()
-		err := l.follow(at, path, nil)
+		err := io.EOF
 		l.mu.Lock()
 		defer l.mu.Unlock()
+		for doubts, version := -1, int64(-1); err == io.EOF && l.at == at && (doubts != at.doubts || at.strange && version < at.version); {
+			doubts, version = at.doubts, at.version
+			l.mu.Unlock()
+			err = l.follow(at, path, nil)
+			l.mu.Lock()
+		}
 		if at.asking = false; l.at == at && err != io.EOF {
 			l.log.Warn("asking for the whole list after a wrong one failed", zap.Error(err))
 			if at.watch != nil {
--- a/internal/list/moments_test.go
+++ b/internal/list/moments_test.go
@@ -268,6 +268,7 @@
 	watch := d.call("?stream=1&index=7", streamHead+wrong+"\n")
 	whole := d.call("", streamHead+strings.Replace(listOf(8, "up"), "s-1", "s-2", 1))
 	whole.Close()
+	until(t, "the whole list", func() bool { l.mu.Lock(); defer l.mu.Unlock(); return len(nodes) == 1 })
 	io.WriteString(watch, strings.Replace(listOf(9, "up"), "s-1", "s-3", 1)+"\n")
 	until(t, "both lists", func() (both bool) {
 		l.mu.Lock()
@@ -406,3 +407,23 @@
 	d.call("?stream=1&index=9", streamHead).Close()
 	ends(t, "the next watch", over, 0, time.Second)
 }
+
+// The whole list that is asked for after a wrong one holds what that had, and the watch overtakes it by a change: it is asked for
+// once more, as it is where another wrong one comes behind the call.
+func TestWholeListOvertaken(t *testing.T) {
+	named := func(id string, version int) string { return strings.Replace(listOf(version, "up"), "s-1", id, 1) }
+	change := strings.Replace(named("s-3", 9), `"full":true`, `"full":false`, 1)
+	for _, behind := range []string{change, "{}"} {
+		d := newDiscovery(t)
+		l, _, nodes, _ := newLister(t, d.l.Addr().String())
+		began(l.Watch)
+		watch := d.call("?stream=1&index=7", streamHead+"nonsense\n")
+		whole := d.call("", "") // as of then
+		io.WriteString(watch, behind+"\n")
+		until(t, "what is behind it", func() bool { l.mu.Lock(); defer l.mu.Unlock(); return len(nodes) == 1 || l.at.doubts > 1 })
+		io.WriteString(whole, streamHead+named("s-2", 8))
+		whole.Close()
+		d.call("", streamHead+named("s-4", 9)).Close()
+		until(t, "the whole list", func() bool { l.mu.Lock(); defer l.mu.Unlock(); return nodes["s-4"] != "" && !l.at.asking })
+	}
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -320,6 +320,12 @@
 		shown := s.show()
 		s.mu.Unlock()
 		return c.Write(&words.Word{Show: shown}, s.post.Term)
+	case w.Bye == words.Left && c.hello.Kind == words.Forwarder:
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.loads.Gone(uint64(c.hello.Life)) // what it said last, of trips that have ended since, would count for some periods
+		delete(s.forwarders, c.hello.Life)
+		return errors.New(w.Bye)
 	case w.Bye != "":
 		return errors.New(w.Bye)
 	case w.Piece != nil && c.hello.Kind == words.Member, (w.Fleet != nil || w.Off != nil) && c.hello.Kind == words.Operator:
--- a/internal/words/words.go
+++ b/internal/words/words.go
@@ -51,6 +51,9 @@
 	Bye    string  `msgpack:"b,omitempty"` // why the connection ends
 }
 
+// Left is the Bye of a forwarder that ends once its last trip has.
+const Left = "left"
+
 // Hello is the first word each way.
 type Hello struct {
 	Version int       `msgpack:"v"`
