A recall behind a failed writing has no connection to wake

Lines: order.Recall in internal/trip/nodes.go. Measured: TestRecalledAfterItsWritingFailed panics without this, and passes with it.

--- a/internal/trip/moments_test.go
+++ b/internal/trip/moments_test.go
@@ -324,3 +324,19 @@
 	}
 	return a.TCPConn.Read(p)
 }
+
+// A recall that comes as the order's writing has failed, and its connection is gone, changes nothing.
+func TestRecalledAfterItsWritingFailed(t *testing.T) {
+	s := among(standin.NewNode(t, "source"))
+	near, far := net.Pipe()
+	far.Close() // nothing can be written
+	ends := make(chan job.End, 1)
+	o := &order{statement: statement(t), until: time.Now().Add(standin.Patience), sent: time.Now(), back: func(e job.End) { ends <- e }}
+	c := &conn{nodes: s, node: s.nodes[0], sock: near, in: ring.New(ring.First, ring.First, nil), out: ring.New(ring.First, ring.First, nil)}
+	if c.carry(o) {
+		t.Error("a broken connection is kept")
+	}
+	ended(t, ends, balance.Unreachable, 5*time.Second)
+	o.Recall()
+	o.Revoke()
+}
--- a/internal/trip/nodes.go
+++ b/internal/trip/nodes.go
@@ -249,7 +249,7 @@
 func (o *order) Recall() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.recalled = !o.written; o.recalled && o.left {
+	if o.recalled = !o.written; o.recalled && o.left && o.sock != nil { // it may have ended meanwhile
 		o.sock.SetDeadline(ring.Past)
 	}
 }
