knownred plays listed tests alone, beside busy processes and stopped now and then

Cause: most entries of KNOWN-RED.txt were seen once, so nobody could tell a fault of the program from one of a crowded machine.

Change: knownred -plays N (make known) plays each entry N times in three conditions, keeps the output of each play that failed, and prints a row each. A stop holds the whole process group of a play, from 0.05 to 0.15 s, at times drawn from a seed.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: soak settings build test race lint fuzz run measure-terms measure-members fleet even starts scale capacity capacity-page
+.PHONY: known soak settings build test race lint fuzz run measure-terms measure-members fleet even starts scale capacity capacity-page
 
 build:
 	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
@@ -70,6 +70,11 @@
 settings:
 	go test -count=1 -timeout 3h -run TestSettingsDrawn ./cmd/sedgestream -space.seed $${SEED:-1} -space.draws $${COUNT:-1000}
 
+# What KNOWN-RED.txt lists, each test COUNT times alone, beside LOAD busy processes and stopped now and then: COUNT=50 LOAD=8 make known; ONLY=Soak for some.
+known:
+	go run ./internal/lab/knownred -plays $${COUNT:-50} -busy $${LOAD:-8} -parallel $${PARALLEL:-2} -seed $${SEED:-1} -logs "$${LOGS:-}" \
+		-only "$${ONLY:-}" KNOWN-RED.txt
+
 # Days of restarts and faults on real processes, a line each and a summary: SEED=1 COUNT=50 PARALLEL=6 make soak; LOGS=folder keeps the logs of days that broke.
 soak:
 	go test -count=1 -v -timeout 3h -run 'TestSoak$$' ./cmd/sedgestream -soak.seed $${SEED:-1} -soak.count $${COUNT:-50} -soak.parallel $${PARALLEL:-6} \
--- a/internal/lab/knownred/main.go
+++ b/internal/lab/knownred/main.go
@@ -1,13 +1,19 @@
 // Command knownred runs the tests that are known to fail, as KNOWN-RED.txt lists them, and prints the result of each to
 // standard error. It prints the pattern of the tests that `go test ./...` has to skip to standard output. It exits with 1
 // if the list is wrong: a line is malformed, a test that should always fail passes, or a test does not exist.
+//
+// With -plays it plays each test so often alone, beside busy processes, and while its processes are stopped now and
+// then, and prints a table.
 package main
 
 import (
 	"errors"
+	"flag"
 	"fmt"
 	"os"
 	"os/exec"
+	"regexp"
+	"slices"
 	"strings"
 )
 
@@ -22,29 +28,71 @@
 )
 
 func main() {
-	if len(os.Args) != 2 {
-		fmt.Fprintln(os.Stderr, "usage: knownred FILE")
+	if os.Getenv(busyEnvironment) != "" {
+		spin()
+		return
+	}
+	var options TableOptions
+	flag.IntVar(&options.Count, "plays", 0, "play each test so often in each condition and print a table; 0: once, and print the skip pattern")
+	flag.IntVar(&options.Parallel, "parallel", 2, "with -plays: plays at a time")
+	flag.IntVar(&options.Busy, "busy", 8, "with -plays: number of busy processes beside the plays")
+	flag.Uint64Var(&options.Seed, "seed", 1, "with -plays: seed of the times at which plays are stopped")
+	flag.StringVar(&options.Logs, "logs", "", "with -plays: directory for the outputs of failed plays")
+	only := flag.String("only", "", "with -plays: only the tests whose names match this regular expression")
+	flag.Usage = func() {
+		fmt.Fprintln(flag.CommandLine.Output(), "usage: knownred [flags] FILE")
+		flag.PrintDefaults()
+	}
+	flag.Parse()
+	if flag.NArg() != 1 {
+		flag.Usage()
 		os.Exit(2)
 	}
-	if err := run(os.Args[1]); err != nil {
+	if err := runCommand(flag.Arg(0), *only, options); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
 
-// run runs the tests of a list file and prints the skip pattern. A missing file is an empty list.
-func run(path string) error {
+// runCommand plays the tests of a list file, once or for a table.
+func runCommand(path, only string, options TableOptions) error {
+	if options.Count == 0 {
+		return run(path)
+	}
+	pattern, err := regexp.Compile(only)
+	if err != nil {
+		return err
+	}
+	entries, err := readFile(path)
+	if err != nil {
+		return err
+	}
+	entries = slices.DeleteFunc(entries, func(entry Entry) bool { return !pattern.MatchString(entry.Test) })
+	return WriteTable(os.Stdout, entries, options)
+}
+
+// readFile reads a list file. A missing file is an empty list.
+func readFile(path string) ([]Entry, error) {
 	file, err := os.Open(path)
 	if errors.Is(err, os.ErrNotExist) {
-		return nil
+		return nil, nil
 	}
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer file.Close()
 	entries, err := ReadList(file)
 	if err != nil {
-		return fmt.Errorf("%s: %w", path, err)
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return entries, nil
+}
+
+// run runs the tests of a list file and prints the skip pattern. A missing file is an empty list.
+func run(path string) error {
+	entries, err := readFile(path)
+	if err != nil || entries == nil {
+		return err
 	}
 	var faults []string
 	for i := range entries {
