soak: one event at a time writes a router's configuration file

Cause: a reload, a move of discovery and a start may write one router's file at the same time by the same temporary name; the second rename finds it gone.

Change: writes of a router's file exclude each other, and the content is taken within, so that the newest values end in the file.

--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -36,6 +36,8 @@
 	program    Program
 	recorder   *recorder
 
+	configMu sync.Mutex // held while the configuration file is written, as several events may write it
+
 	mu        sync.Mutex
 	processes []*process
 	discovery string // address of discovery in the file
@@ -77,8 +79,10 @@
 }
 
 // writeConfig writes the configuration file, or only the first half of it if truncated. A complete file
-// replaces the old one atomically.
+// replaces the old one atomically, and has the values that are newest when it does.
 func (r *router) writeConfig(scenario *Scenario, truncated bool) error {
+	r.configMu.Lock()
+	defer r.configMu.Unlock()
 	text := r.configuration(scenario)
 	if truncated {
 		return os.WriteFile(r.configFile, text[:len(text)/2], 0o600)
