logwriter: the test of a stalled output adds up all reports of dropped records

Cause: the test's. The writer reports what it has dropped with each batch that it takes. Where its goroutine first runs when the buffer has overflowed already, there are two such batches and two reports; the test read the first. The writer loses no count: both reports add up to all records.

Change: the test adds up the reports, and has the order by force as a subtest. Its checks are the same: bytes written and records dropped make up all records, within the bound.

--- a/internal/logwriter/logwriter_test.go
+++ b/internal/logwriter/logwriter_test.go
@@ -42,17 +42,30 @@
 }
 
 // A blocked output blocks no caller, the buffer stays within its bound, and dropped records are reported
-// once the output continues.
+// once the output continues, each of them once: in one report, or in two where the buffer overflowed before its
+// first batch was taken.
 func TestStalledOutput(t *testing.T) {
+	t.Run("the writer runs before the first record", func(t *testing.T) { testStalledOutput(t, 0) })
+	t.Run("the writer runs once records have been dropped", func(t *testing.T) { testStalledOutput(t, 1500) })
+}
+
+// testStalledOutput logs records while the output is blocked, the given number of them before the writer runs.
+func testStalledOutput(t *testing.T, beforeRun int) {
 	const records, size = 3000, 200
 	out := &pipe{}
 	reported := make(chan int, records)
 	w := New(out, func(records int) { reported <- records })
-	go w.Run()
 	out.mu.Lock()
 	start := time.Now()
 	record := append(bytes.Repeat([]byte{'x'}, size-1), '\n')
-	for range records {
+	for range beforeRun {
+		w.Write(record)
+	}
+	go w.Run()
+	for beforeRun > 0 && !isWriting(w) {
+		time.Sleep(time.Millisecond)
+	}
+	for range records - beforeRun {
 		w.Write(record)
 	}
 	w.Sync()
@@ -62,7 +75,17 @@
 	out.mu.Unlock()
 	dropped := <-reported
 	w.Sync()
+	for reports := len(reported); reports > 0; reports-- {
+		dropped += <-reported
+	}
 	if got := out.got.Len(); got != (records-dropped)*size || got > 2*maxPendingBytes {
 		t.Errorf("%d bytes were written, and %d records dropped", got, dropped)
 	}
 }
+
+// isWriting reports whether the writer has taken a batch that it has not written yet.
+func isWriting(w *Writer) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.writing
+}
