frontend: the first answer of TestCancelDuringAnswer no longer fits the sockets' buffers

Symptom: in 5 and 6 of 300 plays "waited in vain: the first answer to be written" or "the last answer is 57014".

Cause: the test's. It cancels while an answer of 60 KB is being written to a client that does not read, but the client's read buffer was made small only once its window had been told: the system took the whole answer, and a cancel request then is rightly for the next request.

Change: the buffer is set before the connection is made, so that the answer never fits, and the test says so if it does. All checks are as before.

--- a/internal/frontend/cancel_test.go
+++ b/internal/frontend/cancel_test.go
@@ -44,16 +44,21 @@
 func serveWithSmallBuffer(t *testing.T, s *Server, writeBuffer int) (near *net.TCPConn, q *standin.Client) {
 	near, far := tcpPair(t)
 	near.SetWriteBuffer(writeBuffer)
+	return near, serveConnection(t, s, near, far)
+}
+
+// serveConnection serves a connection and returns its client, which has started its session.
+func serveConnection(t *testing.T, s *Server, near, far *net.TCPConn) *standin.Client {
 	c := newClient(s, near)
 	s.mu.Lock()
 	s.clients[c] = struct{}{}
 	s.mu.Unlock()
 	go c.serve()
-	q = standin.NewClient(t, far)
+	q := standin.NewClient(t, far)
 	if !q.Startup() {
 		t.Fatal("no startup reply")
 	}
-	return near, q
+	return q
 }
 
 // keyOf returns the key that a client was sent at the startup.
@@ -88,13 +93,18 @@
 		}
 		n.SendValue(b, standin.RequestID(q)+strings.Repeat("v", 60<<10))
 	}
-	near, q := serveWithSmallBuffer(t, s, 4<<10)
+	near, far := tcpPairWithReadBuffer(t, 4<<10)
+	near.SetWriteBuffer(4 << 10)
+	q := serveConnection(t, s, near, far)
 	c := s.keys.find(keyOf(q))
 	q.SendStatement(views[0])
 	standin.WaitFor(t, "an answer that is not read", func() bool { return ring.UnacknowledgedBytes(near) > 0 })
 	q.SendStatement(views[1])
 	q.SendStatement(views[2])
 	standin.WaitFor(t, "the next two to be in flight", func() bool { return s.dispatcher.InFlight() == 2 })
+	if c.inFlight.Load() != 3 {
+		t.Fatal("the first answer fits the buffers of the sockets, and is written already")
+	}
 	serveCancelOf(t, s, q)
 	if a := q.Answer(); !strings.HasPrefix(a, standin.RequestID(views[0])) || len(a) < 60<<10 {
 		t.Errorf("the first answer is %.20q of %d bytes", a, len(a))
--- a/internal/frontend/timing_test.go
+++ b/internal/frontend/timing_test.go
@@ -5,11 +5,13 @@
 	"net"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"sedgestream/balance"
 	"sedgestream/internal/dispatch"
@@ -183,24 +185,37 @@
 
 // tcpPair returns both ends of a connection whose far side reads little at a time.
 func tcpPair(t *testing.T) (near, far *net.TCPConn) {
+	near, far = tcpPairWithReadBuffer(t, 0)
+	far.SetReadBuffer(32 << 10)
+	near.SetWriteBuffer(4 << 20)
+	return near, far
+}
+
+// tcpPairWithReadBuffer is tcpPair with the read buffer of the far end set before it connects, so that its window never
+// admits more; 0 leaves all buffers as they are.
+func tcpPairWithReadBuffer(t *testing.T, size int) (near, far *net.TCPConn) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer l.Close()
-	dialed, err := net.Dial("tcp", l.Addr().String())
+	var dialer net.Dialer
+	if size > 0 {
+		dialer.Control = func(_, _ string, raw syscall.RawConn) error {
+			return raw.Control(func(fd uintptr) { unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size) })
+		}
+	}
+	dialed, err := dialer.Dial("tcp", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
 	far = dialed.(*net.TCPConn)
-	far.SetReadBuffer(32 << 10)
 	far.SetDeadline(time.Now().Add(standin.WaitTimeout))
 	accepted, err := l.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
 	near = accepted.(*net.TCPConn)
-	near.SetWriteBuffer(4 << 20)
 	t.Cleanup(func() { near.Close(); far.Close() })
 	return near, far
 }
