service: a file that is still being read does not hold up a planned restart

What callers saw: a router that takes up 10,000 routes, or a file on storage that does not answer, goes on past the times of a restart and may meet SIGKILL with requests unanswered.

Cause: the goroutine that goes through the phases reads the files of a reload itself. While it does, the stop signal is not acted on.

Change: files of a reload are read in the background, and 0.4 s after the stop signal, when idle connections begin to close, nobody waits for them any more. Nothing of such a file is taken up.

--- a/cmd/sedgestream/terms_test.go
+++ b/cmd/sedgestream/terms_test.go
@@ -321,3 +321,53 @@
 		t.Errorf("a router with nothing in flight exited %v after SIGTERM", took)
 	}
 }
+
+// SIGTERM arrives while a reload waits for the rest of a file, which never comes: the times of the planned restart
+// hold all the same.
+func TestStopsWhileFileIsIncomplete(t *testing.T) {
+	for _, name := range []string{"terms", "configuration"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const allowed, busy = 700 * time.Millisecond, 200 * time.Millisecond
+			primary, replica := standin.NewPair(t)
+			router := newRouter(t, primary, replica)
+			terms := filepath.Join(t.TempDir(), "terms.json")
+			if err := os.WriteFile(terms, []byte(`{"version": 1, "routes": []}`), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			router.Args = []string{"run", "--terms", terms}
+			router.Start(os.Args[0])
+			client := router.Open("")
+			client.Expect("empty")
+			file := map[string]string{"terms": terms, "configuration": router.ConfigPath}[name]
+			replaceByPipe(t, file)
+			router.Cmd.Process.Signal(syscall.SIGHUP)
+			standin.WaitFor(t, "the reload to begin", func() bool { return router.Logged(`"msg":"reloading"`) })
+			time.Sleep(50 * time.Millisecond)
+			signaledAt := time.Now()
+			router.Cmd.Process.Signal(syscall.SIGTERM)
+			standin.WaitFor(t, "the exit", func() bool { return router.Exited() })
+			if took := time.Since(signaledAt); took > allowed+busy {
+				t.Errorf("a router with nothing in flight exited %v after SIGTERM", took)
+			}
+		})
+	}
+}
+
+// replaceByPipe puts a pipe in place of a file. Whoever reads it gets the beginning of an object, and waits for the rest.
+func replaceByPipe(t *testing.T, file string) {
+	if err := os.Remove(file); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Mkfifo(file, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	pipe, err := os.OpenFile(file, os.O_RDWR, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { pipe.Close() })
+	if _, err := pipe.WriteString("{"); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/service/reload.go
+++ b/internal/service/reload.go
@@ -1,6 +1,7 @@
 package service
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"reflect"
@@ -8,8 +9,38 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"sedgestream/internal/recovery"
 )
 
+// errReadAbandoned is the result of reading a file that takes longer than a stopping router waits for it.
+var errReadAbandoned = errors.New("the file was not read to its end before the router stops")
+
+// readFile reads a file in the background and returns the result. It stops waiting for that once readsEnd is closed: a
+// long file, or one that never ends, must not hold up the end of the process.
+func readFile[T any](s *Service, task string, read func() (T, error)) (value T, err error) {
+	type outcome struct {
+		value T
+		err   error
+	}
+	done := make(chan outcome, 1)
+	recovery.Go(s.log, task, func() {
+		value, err := read()
+		done <- outcome{value, err}
+	}, func() { done <- outcome{err: errPanicked} })
+	select {
+	case result := <-done:
+		return result.value, result.err
+	case <-s.readsEnd:
+		return value, errReadAbandoned
+	}
+}
+
+// readConfig reads the configuration while the router runs.
+func (s *Service) readConfig() (*Config, error) {
+	return readFile(s, "reading the configuration", func() (*Config, error) { return ReadConfig(os.Getenv) })
+}
+
 // reload reads the configuration and the terms again. The address of discovery, the settings and the terms
 // are applied to the running router; requests in progress keep the settings they started with. A file that
 // is missing, incomplete or invalid changes nothing. Members that need a restart keep their values and are
@@ -18,7 +49,7 @@
 	previous := s.phase
 	s.enterPhase(Reloading)
 	s.pending = pendingReload{}
-	if config, err := ReadConfig(os.Getenv); err == nil {
+	if config, err := s.readConfig(); err == nil {
 		s.applyConfig(config)
 	} else {
 		if isUnreadable(err) {
@@ -39,7 +70,7 @@
 
 // retryReload reloads once the configuration can be read.
 func (s *Service) retryReload() {
-	_, err := ReadConfig(os.Getenv)
+	_, err := s.readConfig()
 	switch {
 	case !isUnreadable(err):
 		s.reload()
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -57,6 +57,7 @@
 	member        *member.Instance           // in the fleet's membership; nil unless the tier has members
 	peers         atomic.Pointer[peer.Peers] // nil while the address for peer messages is closed
 	stop          chan struct{}
+	readsEnd      chan struct{} // closed acceptGrace after the stop signal: no file is read on from then on
 	tasks         sync.WaitGroup
 	pending       pendingReload
 	startDeadline time.Time // end of retries during the start
@@ -78,7 +79,7 @@
 // New returns a service that has not started. Each signal on reloads makes it read its configuration and
 // its file of terms again.
 func New(log *zap.Logger, options Options, reloads <-chan os.Signal) *Service {
-	return &Service{log: log, options: options, reloads: reloads, stop: make(chan struct{})}
+	return &Service{log: log, options: options, reloads: reloads, stop: make(chan struct{}), readsEnd: make(chan struct{})}
 }
 
 // enterPhase sets and logs the phase.
@@ -114,7 +115,9 @@
 			constraints.Groups[name] = true
 		}
 	}
-	table, err := termsfile.Load(s.options.TermsPath, constraints)
+	table, err := readFile(s, "reading the terms", func() (*terms.RouteTable, error) {
+		return termsfile.Load(s.options.TermsPath, constraints)
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -230,11 +233,12 @@
 }
 
 // timestampStop records when the stop signal arrives. The main goroutine may be applying a configuration
-// just then, but the time limits of a restart run from the signal.
+// just then, but the time limits of a restart run from the signal, and reading a file ends by them.
 func (s *Service) timestampStop(stops <-chan os.Signal) <-chan stopSignal {
 	received := make(chan stopSignal, 1)
 	recovery.Go(s.log, "stop", func() {
 		signal := <-stops
+		recovery.AfterFunc(s.log, "end of reads", acceptGrace, func() { close(s.readsEnd) })
 		received <- stopSignal{signal, time.Now()}
 	}, nil)
 	return received
