completion: the subcommands of forward, plan, fleet and lab are completed

What callers saw: "sedgestream plan <TAB>" offers the commands of the top level.

Cause: the bash and zsh script names the commands by which it finds where it is, and the list was written by hand before these commands existed.

Change: the list comes from the command line's model.

--- a/cmd/sedgestream/completion.go
+++ b/cmd/sedgestream/completion.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 
 	"github.com/alecthomas/kong"
@@ -16,8 +18,14 @@
 
 // Run prints a completion script with the subcommands and flags of each command.
 func (c *completionCommand) Run(k *kong.Kong) error {
-	fmt.Fprintln(k.Stdout, map[string]string{"bash": bashPrologue,
-		"zsh": "autoload -U +X bashcompinit && bashcompinit\n" + bashPrologue, "fish": fishPrologue}[c.Shell])
+	prologue := fmt.Sprintf(bashPrologue, strings.Join(commandNames(k.Model.Node), "|"))
+	switch c.Shell {
+	case "zsh":
+		prologue = "autoload -U +X bashcompinit && bashcompinit\n" + prologue
+	case "fish":
+		prologue = fishPrologue
+	}
+	fmt.Fprintln(k.Stdout, prologue)
 	walkCommands(k.Model.Node, nil, func(path, names []string) {
 		if c.Shell == "fish" {
 			fmt.Fprintf(k.Stdout, "complete -c sedgestream -f -n '__sedgestream_at %s' -a '%s'\n", fishPath(path), strings.Join(names, " "))
@@ -31,6 +39,17 @@
 	return nil
 }
 
+// commandNames returns the names of all commands and subcommands, sorted.
+func commandNames(root *kong.Node) []string {
+	names := map[string]bool{}
+	walkCommands(root, nil, func(path, _ []string) {
+		if len(path) > 0 {
+			names[path[len(path)-1]] = true
+		}
+	})
+	return slices.Sorted(maps.Keys(names))
+}
+
 // fishPath joins the names of a command for the fish script, where the empty path needs quotes.
 func fishPath(path []string) string {
 	if len(path) == 0 {
@@ -58,10 +77,11 @@
 	}
 }
 
+// bashPrologue finds the command that is being completed. It has a place for the names of all commands.
 const bashPrologue = `_sedgestream() {
     local at="" w words
     for w in "${COMP_WORDS[@]:1:COMP_CWORD-1}"; do
-        case "$w" in -*) ;; run|check|terms|explain|diff|schema|completion) at="${at:+$at }$w" ;; esac
+        case "$w" in -*) ;; %s) at="${at:+$at }$w" ;; esac
     done
     case "$at" in`
 
--- a/cmd/sedgestream/terms_test.go
+++ b/cmd/sedgestream/terms_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -268,6 +269,30 @@
 	}
 }
 
+// The bash script completes the subcommands and flags of every command.
+func TestCompletionOfEachCommand(t *testing.T) {
+	_, script, _ := runProgram(t, "completion", "bash")
+	for line, want := range map[string]string{
+		"sedgestream":                "forward",
+		"sedgestream plan":           "show",
+		"sedgestream plan show":      "--tier",
+		"sedgestream fleet":          "leave",
+		"sedgestream forward":        "--tier",
+		"sedgestream lab":            "scale",
+		"sedgestream terms explain":  "--tariff",
+		"sedgestream run --terms f":  "--log-level",
+		"sedgestream completion zsh": "--help",
+	} {
+		words := strings.Fields(line)
+		command := exec.Command("bash", "-c", script+fmt.Sprintf("\nCOMP_WORDS=(%s \"\"); COMP_CWORD=%d; _sedgestream; echo ${COMPREPLY[*]}", line, len(words)))
+		command.Dir = t.TempDir()
+		out, err := command.CombinedOutput()
+		if err != nil || !slices.Contains(strings.Fields(string(out)), want) {
+			t.Errorf("%q is completed by %q, %v, want %q among them", line, out, err, want)
+		}
+	}
+}
+
 // The file of terms in deploy/ and the example on the operators' page are valid for the example configuration.
 func TestDeployedTerms(t *testing.T) {
 	page, _ := os.ReadFile("../../docs/operators/route-terms.md")
