Errors to clients say what happened and what to do in plain words

Clients read "no room for this now", "given up" and "this class wants k in the comment", which say neither whether the request ran nor what the class needs. SQLSTATEs, fields and form are as before.

Measured: the tests of pg, frontend and the commands pass.

--- a/internal/frontend/query.go
+++ b/internal/frontend/query.go
@@ -74,10 +74,10 @@
 	}
 	settings := &policy.Settings.Classes[class]
 	if settings.RetrySafety == balance.Deduplicated && !statement.HasDedupKey {
-		return req, "this class wants k in the comment"
+		return req, "requests of this class need an idempotency key: k in the comment"
 	}
 	if statement.Write != (settings.Consistency == balance.Write) {
-		return req, "this class wants the other kind of statement"
+		return req, "requests of this class need the other kind of statement: INSERT for writes, SELECT for reads"
 	}
 	return dispatch.Request{
 		ID:          statement.ID,
--- a/internal/pg/message.go
+++ b/internal/pg/message.go
@@ -182,7 +182,7 @@
 // AppendRejection appends the error for a request that did not run, so that a retry is harmless. The detail
 // is empty, or the number of milliseconds to wait before a retry.
 func AppendRejection(b []byte, detail string) []byte {
-	return AppendError(b, "ERROR", tooManyConnections, "no room for this now", detail)
+	return AppendError(b, "ERROR", tooManyConnections, "the request was not executed, as the router has no capacity for it now; try again later", detail)
 }
 
 // AppendTooManyConnections appends the error for a query on a connection beyond the limit, which is then
@@ -193,5 +193,5 @@
 
 // AppendFailure appends the error for a request that has failed. Whether it ran is not known.
 func AppendFailure(b []byte) []byte {
-	return AppendError(b, "ERROR", queryCanceled, "given up", "")
+	return AppendError(b, "ERROR", queryCanceled, "the request was given up and may have been executed", "")
 }
