--- a/cmd/sedgestream/timing_test.go
+++ b/cmd/sedgestream/timing_test.go
@@ -1,17 +1,13 @@
 package main
 
 import (
-	"encoding/binary"
-	"errors"
 	"fmt"
 	"io"
 	"net"
 	"os"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -241,160 +237,6 @@
 	}
 }
 
-// sentQuery is a client's query and its answer.
-type sentQuery struct {
-	id, answer string
-	router     int
-	at         time.Time
-	took       time.Duration
-}
-
-// Three routers get SIGTERM one after the other, while one of three nodes hangs and clients keep writing pipelined
-// queries. By the records of nodes and clients, each query that reached a node has one complete answer in time, a
-// query without an answer was never sent, no connection ends inside an answer, and each router exits with its last
-// request.
-func TestRestartsUnderPipelinedLoad(t *testing.T) {
-	t.Parallel()
-	const timeoutMs, maxUnanswered, pace = 1500, 20, 15 * time.Millisecond
-	nodes := []*standin.Node{standin.NewNode(t, "source"), standin.NewNode(t, "copy"), standin.NewNode(t, "copy")}
-	var hangs atomic.Bool
-	nodes[1].Handler = func(backend *pgproto3.Backend, conn net.Conn, _ string) {
-		if hangs.Load() {
-			io.Copy(io.Discard, conn)
-			return
-		}
-		nodes[1].SendValue(backend, "from copy")
-	}
-	var routers []*standin.Harness
-	for range 3 {
-		router := newRouter(t, nodes...)
-		router.Settings = strings.ReplaceAll(standin.DefaultSettings, `"deadlineUs":30000000`, fmt.Sprintf(`"deadlineUs":%d`, timeoutMs*1000))
-		routers = append(routers, router.Start(os.Args[0]))
-	}
-	var mu sync.Mutex
-	var queries []*sentQuery
-	var truncated []string
-	var clients sync.WaitGroup
-	stop := make(chan struct{})
-	for i := range 9 {
-		clients.Add(1)
-		go func() {
-			defer clients.Done()
-			for turn := i; ; turn++ {
-				select {
-				case <-stop:
-					return
-				default:
-				}
-				sock, err := net.Dial("tcp", routers[turn%3].Address)
-				if err != nil {
-					time.Sleep(5 * time.Millisecond)
-					continue
-				}
-				sock.SetDeadline(time.Now().Add(standin.WaitTimeout))
-				client := standin.NewClient(t, sock)
-				if !client.Startup() {
-					sock.Close()
-					continue
-				}
-				var queue []*sentQuery // guarded by mu
-				done := make(chan struct{})
-				go func() { // writes at a fixed pace while fewer than maxUnanswered queries are unanswered
-					for n := 0; ; n++ {
-						select {
-						case <-done:
-							return
-						case <-stop:
-							sock.(*net.TCPConn).CloseWrite()
-							return
-						case <-time.After(pace):
-						}
-						text := standin.ReadQuery(timeoutMs)
-						if n%3 == 2 {
-							text = standin.WriteQuery("once", timeoutMs)
-						}
-						mu.Lock()
-						if len(queue) < maxUnanswered {
-							sent := &sentQuery{id: standin.RequestID(text), router: turn % 3, at: time.Now()}
-							queries, queue = append(queries, sent), append(queue, sent)
-							mu.Unlock()
-							io.WriteString(sock, "Q"+string(binary.BigEndian.AppendUint32(nil, uint32(len(text)+5)))+text+"\x00")
-							continue
-						}
-						mu.Unlock()
-					}
-				}()
-				for {
-					answer, err := client.ReadAnswer()
-					mu.Lock()
-					if err != nil {
-						if answer != "" || !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, syscall.ECONNRESET) {
-							truncated = append(truncated, fmt.Sprintf("%q, %v", answer, err))
-						}
-						mu.Unlock()
-						break
-					}
-					queue[0].answer, queue[0].took = answer, time.Since(queue[0].at)
-					queue = queue[1:]
-					mu.Unlock()
-				}
-				close(done)
-				sock.Close()
-			}
-		}()
-	}
-	standin.WaitFor(t, "answers", func() bool { mu.Lock(); defer mu.Unlock(); return len(queries) > 300 })
-	hangs.Store(true)
-	finishingAt := make([]time.Time, len(routers)) // from then on the router may begin no request
-	for i, router := range routers {
-		start := time.Now()
-		router.Cmd.Process.Signal(syscall.SIGTERM)
-		standin.WaitFor(t, "finishing", func() bool { return router.Logged(`"finishing"`) })
-		finishingAt[i] = time.Now().Add(50 * time.Millisecond)
-		select {
-		case err := <-router.Exit:
-			if err != nil {
-				t.Errorf("router %d ended with %v", i, err)
-			}
-		case <-time.After(time.Until(start.Add((700 + timeoutMs + 200) * time.Millisecond))):
-			t.Errorf("router %d does not exit in time", i)
-			router.Cmd.Process.Kill()
-		}
-	}
-	close(stop)
-	clients.Wait()
-	ran := map[string]bool{}
-	for _, node := range nodes {
-		for _, attempt := range node.Executions() {
-			ran[attempt.ID] = true
-		}
-	}
-	outcomes := map[string]int{}
-	for _, query := range queries {
-		switch {
-		case ran[query.id] && query.at.After(finishingAt[query.router]):
-			outcomes["begun by a router about to exit"]++
-		case query.answer == "" && ran[query.id]:
-			outcomes["went to a node and has no answer"]++
-		case query.answer == "":
-			outcomes["never read"]++
-		case strings.HasPrefix(query.answer, "from") && !ran[query.id]:
-			outcomes["answered, but by no node"]++
-		case query.took > (timeoutMs+500)*time.Millisecond: // with 500 ms of slack for a busy machine
-			outcomes["late"]++
-		default:
-			outcomes[query.answer]++
-		}
-	}
-	if len(truncated) > 0 || outcomes["went to a node and has no answer"]+outcomes["answered, but by no node"]+outcomes["late"]+
-		outcomes["begun by a router about to exit"] > 0 || outcomes["from copy"] == 0 {
-		t.Errorf("of %d: %v; truncated: %q", len(queries), outcomes, truncated[:min(len(truncated), 5)])
-	}
-	if !slices.ContainsFunc(queries, func(query *sentQuery) bool { return query.answer == "53300" }) {
-		t.Error("no query was rejected by a router about to exit")
-	}
-}
-
 // Discovery accepts calls but answers none for a while, and a node begins to drain. The drain counts as announced
 // when discovery recovers, which is just after a call that is never answered. No router begins a request at the
 // node after the grace, although clients send requests all the time.
