knownred names the fault of a failed play, not what its test logged before

The table showed "41 descriptors at most" as the failure of TestIdleClientsWhileDiscoveryIsDown, which that test logs in each play.

Change: the last line with a place before the verdict is taken. TestFailure has it; go test ./internal/lab/knownred passes.

--- a/internal/lab/knownred/play.go
+++ b/internal/lab/knownred/play.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"os"
 	"os/exec"
@@ -36,7 +37,7 @@
 // Play is one run of an entry's test.
 type Play struct {
 	Result Result
-	Line   string // the first line of the output that tells of a failure; empty unless it failed
+	Line   string // the line of the output that tells of the failure; empty unless it failed
 	Output []byte
 }
 
@@ -67,7 +68,7 @@
 		play.Result = Failed
 	}
 	if play.Result == Failed {
-		play.Line = firstFailure(output.String())
+		play.Line = failure(output.String())
 	}
 	return play, nil
 }
@@ -75,18 +76,19 @@
 // failureLine matches what a test reports with its place, and what the runtime reports.
 var failureLine = regexp.MustCompile(`^(\w+\.go:\d+: |panic: |fatal error: |WARNING: DATA RACE)`)
 
-// firstFailure returns the first line of a failed test's output that reports a fault, or else the one with its verdict.
-func firstFailure(output string) (verdict string) {
+// failure returns the last line with a place that a failed test's output has before its first verdict, or what the
+// runtime reports, or else that verdict. What a test logs comes before the faults that it finds.
+func failure(output string) (reason string) {
 	for line := range strings.Lines(output) {
 		line = strings.TrimSpace(line)
-		if failureLine.MatchString(line) {
-			return line
-		}
-		if verdict == "" && strings.HasPrefix(line, "--- FAIL") {
-			verdict = line
+		switch {
+		case strings.HasPrefix(line, "--- FAIL"):
+			return cmp.Or(reason, line)
+		case failureLine.MatchString(line):
+			reason = line
 		}
 	}
-	return verdict
+	return reason
 }
 
 // keepOutput writes the output of a failed play to a directory.
--- a/internal/lab/knownred/table_test.go
+++ b/internal/lab/knownred/table_test.go
@@ -45,15 +45,15 @@
 	}
 }
 
-// The first failure is the first line that names a place, or what the runtime says, or else the verdict.
-func TestFirstFailure(t *testing.T) {
+// The reason of a failure is the last line that names a place, or what the runtime says, or else the verdict.
+func TestFailure(t *testing.T) {
 	for output, want := range map[string]string{
-		"=== RUN   TestA\n    a_test.go:7: is 2, want 1\n    a_test.go:9: more\n--- FAIL: TestA (0.1s)\n": "a_test.go:7: is 2, want 1",
-		"=== RUN   TestA\npanic: test timed out after 5m0s\n":                                             "panic: test timed out after 5m0s",
-		"=== RUN   TestA\n--- FAIL: TestA (0.1s)\n":                                                       "--- FAIL: TestA (0.1s)",
+		"=== RUN   TestA\n    a_test.go:7: took 2 s\n    a_test.go:9: is 2, want 1\n--- FAIL: TestA (0.1s)\n    b_test.go:1: later\n": "a_test.go:9: is 2, want 1",
+		"=== RUN   TestA\npanic: test timed out after 5m0s\n":                                                                         "panic: test timed out after 5m0s",
+		"=== RUN   TestA\n--- FAIL: TestA (0.1s)\n":                                                                                   "--- FAIL: TestA (0.1s)",
 	} {
-		if got := firstFailure(output); got != want {
-			t.Errorf("the first failure is %q, want %q", got, want)
+		if got := failure(output); got != want {
+			t.Errorf("the reason is %q, want %q", got, want)
 		}
 	}
 }
