balance: the time of a stall of this process is no silence of a node

What callers saw: a router that is stopped for 0.15 s, or gets little processor time, ejects the nodes at which it has attempts, its only primary among them; writes are rejected or go round, reads lose their replicas for half the cold time.

Cause: an attempt counts as silent once its target latency has passed on the clock. By the log of TestIdleClientsWhileDiscoveryIsDown beside other work: the attempt was decided at .5236 s, written at .5924 s, its node ejected at .6042 s and the answer read at .6187 s, 80 ms after the decision and 12 ms after the writing. Ruled out there: want of descriptors, as no dial was short of one.

Its time does not count towards an attempt's target latency, nothing is judged within 30 ms of its end, and an attempt that times out with a stall in it says nothing of its node. A node that stays silent while the process runs is ejected as before (TestStallIsNoSilence).

--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -34,7 +34,7 @@
 		node.heardAt = now
 	}
 	attempt := attemptRecord{node: nodeIndex, inFlight: true, answersBefore: node.answerCount, ownInFlight: node.inFlight + node.orphans,
-		loadAtSend: r.estimatedLoad(node, now), sentAt: now, onEnd: (*Router).afterAttempt}
+		loadAtSend: r.estimatedLoad(node, now), sentAt: now, stalledBefore: r.stalledFor, onEnd: (*Router).afterAttempt}
 	req.attempts = append(req.attempts, attempt)
 	req.inFlight++
 	node.inFlight++
@@ -117,7 +117,7 @@
 			node.markLost(now)
 		}
 		// checkOverdue does not see the silence of a node if attempts end before the target latency.
-		silent := !attempt.late && node.heardAt <= attempt.sentAt && now >= node.ejectedUntil
+		silent := !attempt.late && node.heardAt <= attempt.sentAt && now >= node.ejectedUntil && r.stallDuring(attempt) == 0
 		if silent && req.terms.AttemptTimeout+req.terms.AttemptTimeShare > 0 {
 			r.recordFailure(node, now, 1)
 		} else if silent && now >= req.targetAt && class.retryAfter > 0 {
@@ -197,7 +197,7 @@
 		}
 		node := &r.nodes[attempt.node]
 		turnovers := node.turnovers(attempt)
-		if now-attempt.sentAt > class.TargetLatency && !attempt.late {
+		if !attempt.late && r.isOverdueForTarget(attempt, class.TargetLatency, now) {
 			if attempt.lost = turnovers >= overdueTurnovers+1; attempt.lost {
 				node.inFlight--
 			} else if turnovers < overdueTurnovers {
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -230,6 +230,7 @@
 		r.nextListCallAt, r.listCalledAt = 0, now
 		r.actions.WatchList()
 	}
+	r.recordTimerDelay(now)
 	r.settleClock()
 	r.exchangeReports(now)
 	workSum, warmNodes, decay := 0.0, 0.0, math.Pow(1-slowAverageWeight, float64(now-r.sweptAt)/float64(r.sweepInterval))
--- /dev/null
+++ b/balance/stall_test.go
@@ -0,0 +1,43 @@
+package balance
+
+import "testing"
+
+// The process is stalled while a node has an attempt: no time of the stall counts as the node's silence, but a node that
+// stays silent afterwards is ejected all the same.
+func TestStallIsNoSilence(t *testing.T) {
+	const node = 1
+	h := newThreeNodeHarness(testSettings(), 0, 5000*ms)
+	h.highTraffic, h.timerOnly = false, true
+	h.accept(int(Bounded), 0, 2000*ms, 0)
+	target := h.settings.Classes[Bounded].TargetLatency
+	h.advance(target / 4)
+	h.now += 2 * target // nothing of the process runs
+	h.router.OnTimer(h.now)
+	if h.router.nodes[node].ejectedUntil > h.now {
+		t.Fatalf("the node is ejected right after a stall: %+v", h.router.nodes[node])
+	}
+	h.advance(target / 2)
+	if h.router.nodes[node].ejectedUntil > h.now {
+		t.Fatalf("the time of the stall counts: %+v", h.router.nodes[node])
+	}
+	h.advance(target/2 + catchUpTime)
+	if h.router.nodes[node].ejectedUntil <= h.now {
+		t.Fatalf("the node was silent for its target latency, and is not ejected: %+v", h.router.nodes[node])
+	}
+}
+
+// An attempt times out in a stall: the node is not ejected for it, as its answer may wait unread.
+func TestTimeoutInStallIsNoSilence(t *testing.T) {
+	h := newThreeNodeHarness(testSettings(), 5000*ms, 5000*ms)
+	h.terms = Terms{AttemptTimeout: 20 * ms, MaxAttempts: 1}
+	h.timerOnly = true
+	for range 2 * ejectAfterFailures {
+		h.accept(int(Fresh), 0, 1000*ms, 0)
+		h.now += 200 * ms // nothing of the process runs
+		h.router.OnTimer(h.now)
+		h.advance(25 * ms)
+	}
+	if node := &h.router.nodes[0]; node.ejectedUntil > h.now {
+		t.Fatalf("%+v", *node)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -33,6 +33,8 @@
 	reportAge                      int64 // mean age of reports when they arrive
 	sweptAt                        int64 // when OnTimer last ran
 	timerAt                        int64 // when the timer fires
+	stalledFor                     int64 // how long the process has been stalled since the start, as far as its timer shows
+	caughtUpAt                     int64 // when what arrived during the last stall has been read
 	ejectionTime                   int64
 	halfDrainGrace                 int64 // half of Settings.DrainGrace
 	warmUpTime                     int64
@@ -80,6 +82,7 @@
 	late          bool // in flight for longer than the class's target latency, and recorded as that
 	lost          bool // presumed lost, and no longer counted at its node
 	sentAt        int64
+	stalledBefore int64   // stalledFor when it was sent
 	answersBefore float64 // answerCount of the node when the attempt was sent
 	ownInFlight   float64 // attempts of this router at the node when it was sent, with orphans
 	loadAtSend    float64 // estimated load of the node when it was sent
