--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -54,19 +54,20 @@
 	Handler             func(*pgproto3.Backend, net.Conn, string) // answers a statement; nil: answers with the node's role
 	SkipRecords         bool                                      // keeps no statements and executions, for load tests
 	Position            func() time.Time                          // time up to which its answers include every write; nil: now
-	RejectReplicaWrites bool                                      // a replica rejects writes with 25006, as PostgreSQL does, and does not record them
-
-	t            TB
-	mu           sync.Mutex
-	statements   []string
-	executions   []Execution
-	conns        map[net.Conn]struct{}
-	down         bool
-	startedMs    int64
-	restarts     []time.Time // times of all starts but the first
-	model        *ServiceModel
-	ProbeCount   int // probes answered; under WithLock
-	SessionCount int // connections opened; under WithLock
+	RejectReplicaWrites bool                                      // a replica rejects writes with 25006, as PostgreSQL does, and records them in ReplicaWrites only
+
+	t             TB
+	mu            sync.Mutex
+	statements    []string
+	executions    []Execution
+	replicaWrites []ReplicaWrite
+	conns         map[net.Conn]struct{}
+	down          bool
+	startedMs     int64
+	restarts      []time.Time // times of all starts but the first
+	model         *ServiceModel
+	ProbeCount    int // probes answered; under WithLock
+	SessionCount  int // connections opened; under WithLock
 }
 
 // Backend and Conn are what a node's Handler answers over.
@@ -83,6 +84,13 @@
 	AnsweredAt time.Time // zero: never
 }
 
+// ReplicaWrite records one write that a node received while it was a replica, whether or not it executed it.
+type ReplicaWrite struct {
+	ID         string
+	ReceivedAt time.Time
+	Rejected   bool // with 25006, so that it had no effect
+}
+
 // NewNode starts a node that listens on the loopback interface. Its role is "source" (primary) or "copy"
 // (replica).
 func NewNode(t TB, role string) *Node {
@@ -235,9 +243,12 @@
 			n.SendValue(backend, fmt.Sprintf("x0=%.3f,x1=%d,%s", float64(n.toNodeClock(n.position().UnixMilli()))/1e3, primary, load))
 			continue
 		}
-		if n.RejectReplicaWrites && n.role() != "source" && strings.HasPrefix(query.String, "INSERT") {
-			n.ErrorHandler("25006")(backend, conn, query.String)
-			continue
+		if n.role() != "source" && strings.HasPrefix(query.String, "INSERT") {
+			n.recordReplicaWrite(query.String)
+			if n.RejectReplicaWrites {
+				n.ErrorHandler("25006")(backend, conn, query.String)
+				continue
+			}
 		}
 		handler, index := n.Handler, -1
 		n.WithLock(func() {
@@ -283,6 +294,22 @@
 	return executions
 }
 
+// ReplicaWrites returns the writes that arrived while the node was a replica, in order of arrival. They are recorded with
+// RejectReplicaWrites as well as without it.
+func (n *Node) ReplicaWrites() (writes []ReplicaWrite) {
+	n.WithLock(func() { writes = append(writes, n.replicaWrites...) })
+	return writes
+}
+
+// recordReplicaWrite records a write that has arrived at a replica.
+func (n *Node) recordReplicaWrite(statement string) {
+	if n.SkipRecords {
+		return
+	}
+	write := ReplicaWrite{ID: RequestID(statement), ReceivedAt: time.Now(), Rejected: n.RejectReplicaWrites}
+	n.WithLock(func() { n.replicaWrites = append(n.replicaWrites, write) })
+}
+
 // SendValue answers a statement with one row that has the value.
 func (n *Node) SendValue(backend *pgproto3.Backend, value string) {
 	backend.Send(&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{Name: []byte("body"), DataTypeOID: 17, Format: 1}}})
