--- a/balance/ejection.go
+++ b/balance/ejection.go
@@ -51,9 +51,10 @@
 	}
 }
 
-// Eject ejects a replica until the given time, because many routers have found it to fail. Primaries are not ejected.
+// Eject ejects a replica until the given time, because many routers have found it to fail. A node that is the primary, or
+// may be by what this router knows, is not ejected: the others still send it their writes, as these have no other node.
 func (r *Router) Eject(now int64, nodeIndex int, until int64) {
-	if node := &r.nodes[nodeIndex]; node.role != Primary {
+	if node := &r.nodes[nodeIndex]; !r.mayBePrimary(node) {
 		node.ejectedByOthersUntil = until
 	}
 }
--- a/balance/replica.go
+++ b/balance/replica.go
@@ -12,8 +12,7 @@
 	bestScore, ties, primary := 0.0, int64(0), r.provenPrimary(req.group, now)
 	for _, member := range r.groups[req.group].members {
 		node := &r.nodes[member]
-		// The first probe of a node, unless another router has sent a report of it.
-		if node.probedAt == 0 && node.reportedAt == 0 && r.acceptsWork(node) {
+		if r.isUnprobed(node) {
 			r.probe(member, now)
 		} else if member != primary && class.Consistency != Any {
 			r.reprobe(member, r.positionRefresh, now)
--- a/balance/report.go
+++ b/balance/report.go
@@ -10,6 +10,11 @@
 	}
 }
 
+// isUnprobed reports whether a node that accepts work was never probed, and no other router has sent a report of it.
+func (r *Router) isUnprobed(node *nodeRecord) bool {
+	return node.probedAt == 0 && node.reportedAt == 0 && r.acceptsWork(node)
+}
+
 // reprobe probes a node without a report for at least minAge, on behalf of a request that would use the report.
 // These probes are paid for from the probe budget, to which requests add, so that their number does not grow with the
 // number of routers. Where requests are few, reports get old between them.
@@ -61,6 +66,9 @@
 func (r *Router) recordEvidence(node *nodeRecord, now int64, role Role, position, roleAt int64) {
 	if role != Unknown && roleAt >= node.roleAt && r.provesRole(node, role, position) {
 		node.role, node.roleAt = role, roleAt
+		if role == Primary {
+			node.ejectedByOthersUntil = 0
+		}
 	}
 	if position > 0 && position <= r.serverTime(now) { // a position in the future is wrong
 		node.position = max(node.position, position)
--- a/balance/unknownprimary_test.go
+++ b/balance/unknownprimary_test.go
@@ -101,6 +101,14 @@
 	if len(h.nodesOf(slot)) != 1 {
 		t.Errorf("the write still waits: %v", h.log)
 	}
+	for node := range int32(3) { // further probes, for other reasons
+		h.router.probe(node, h.now)
+	}
+	later := h.accept(int(Write), 0, 2000*ms, 0)
+	h.advance(2*h.router.sweepInterval + 10*ms) // a new request also waits for the loads of members
+	if len(h.nodesOf(later)) != 1 {
+		t.Errorf("a later write still waits: %v", h.log)
+	}
 }
 
 // Without probes only an attempt can show who the primary is, so a first write tries one member after the other. No
