TestTierThroughFailures counts writes at replicas that turn them away

Its stand-in replicas ran writes, which the protocol has them turn away with 25006 and no effect. With RejectReplicaWrites alone the check of rule 5 would see nothing. The replicas turn writes away now, and each write that arrives at one is a fault of the test, with its forwarder and its time, whether it ran or not. That is as strict as before: what arrived was recorded as run, and is recorded as received now. No write is allowed for.

--- a/cmd/sedgestream/tier_test.go
+++ b/cmd/sedgestream/tier_test.go
@@ -224,6 +224,7 @@
 		nodes = append(nodes, standin.NewNode(t, "copy"))
 	}
 	for _, node := range nodes {
+		node.RejectReplicaWrites = true
 		node.WithFaults(4*time.Millisecond, standin.Fault{Share: 0.005, SQLState: "XX000"}, standin.Fault{Share: 0.005, Close: true})
 	}
 	harness := newTierHarness(t, 6, 3, nodes)
@@ -350,11 +351,19 @@
 				t.Errorf("node %d got a request of forwarder %d %v after its list said that it drains", n, request.forwarder,
 					attempt.ReceivedAt.Sub(at))
 			}
-			// Rule 5: fresh reads and writes go to the primary.
+			// Rule 5: fresh reads and writes go to the primary. A write counts even if the replica turned it away.
 			if request.class != "view" && n != 0 {
 				t.Errorf("replica %d ran a request of %s", n, request.class)
 			}
 		}
+		for _, write := range node.ReplicaWrites() {
+			request := harness.requests[write.ID]
+			if request == nil {
+				t.Fatalf("replica %d received a write that nobody asked for: %s", n, write.ID)
+			}
+			t.Errorf("replica %d received the write %s of %s from forwarder %d, %v after its client had sent it", n, write.ID,
+				request.class, request.forwarder, write.ReceivedAt.Sub(request.sentAt))
+		}
 	}
 	for id, request := range harness.requests {
 		// Rule 1: each request has one answer, in time.
