--- a/balance/primary.go
+++ b/balance/primary.go
@@ -59,10 +59,10 @@
 	}
 }
 
-// probeForRoles probes the members that a write could be sent to although they have shown no role, each of them once.
-// These probes are not paid for from the probe budget, like the first ones that reads cause.
+// probeForRoles probes the members that a write could be sent to although they have shown no role, each of them once, if
+// there are several. These probes are not paid for from the probe budget, like the first ones that reads cause.
 func (r *Router) probeForRoles(req *request, now int64) {
-	if r.classes[req.class].Consistency != Write {
+	if r.classes[req.class].Consistency != Write || r.countWithoutRole(req.group) < 2 {
 		return
 	}
 	for _, member := range r.groups[req.group].members {
@@ -77,21 +77,26 @@
 func (r *Router) awaitsRoles(req *request, now int64) bool {
 	const waitShare = 4 // of the target latency: a quarter
 	class := &r.classes[req.class]
-	if class.Consistency != Write || now >= min(req.arrivedAt+class.TargetLatency/waitShare, req.parkUntil) {
+	if class.Consistency != Write || now >= min(req.arrivedAt+class.TargetLatency/waitShare, req.parkUntil) ||
+		r.countWithoutRole(req.group) < 2 {
 		return false
 	}
-	withoutRole, awaited := 0, 0
 	for _, member := range r.groups[req.group].members {
-		node := &r.nodes[member]
-		if !r.lacksRole(node) {
-			continue
+		if node := &r.nodes[member]; r.lacksRole(node) && node.probeInFlight && node.probeAnsweredAt == 0 {
+			return true
 		}
-		withoutRole++
-		if node.probeInFlight && node.probeAnsweredAt == 0 {
-			awaited++
+	}
+	return false
+}
+
+// countWithoutRole returns how many members of a group accept work and have shown no role.
+func (r *Router) countWithoutRole(group int32) (count int) {
+	for _, member := range r.groups[group].members {
+		if r.lacksRole(&r.nodes[member]) {
+			count++
 		}
 	}
-	return withoutRole > 1 && awaited > 0
+	return count
 }
 
 // lacksRole reports whether a node accepts work and has shown no role, so that it may be the primary while none is known.
@@ -140,10 +145,8 @@
 // short where all members are known to be replicas, as one of them has to take over. A member without a known role is
 // more likely to be the primary than a replica is to have taken over within the shortest time of a failover.
 func (r *Router) replicaRoleLifetime(group int32) int64 {
-	for _, member := range r.groups[group].members {
-		if r.lacksRole(&r.nodes[member]) {
-			return max(r.sweepInterval, minFailoverTime)
-		}
+	if r.countWithoutRole(group) > 0 {
+		return max(r.sweepInterval, minFailoverTime)
 	}
 	return r.sweepInterval
 }
