upstream: an attempt waits for a descriptor for a quarter of its target latency at most

What callers saw: a router that is short of descriptors ejects nodes that are sound, and writes then go round or are refused.

Cause: an attempt whose connection finds no free descriptor waits for one for up to 0.1 s.

Change: the wait is bounded by a quarter of the shortest target latency. The attempt then ends as not sent, which blames no node and spends no attempt.

--- a/internal/descriptors/descriptors.go
+++ b/internal/descriptors/descriptors.go
@@ -13,7 +13,7 @@
 
 // Retries of a connection that found no free descriptor. By then the connection closed by CloseIdle has freed one.
 const (
-	dialAttempts   = 20
+	MaxWait        = 100 * time.Millisecond // the longest wait for a free descriptor
 	dialRetryDelay = 5 * time.Millisecond
 )
 
@@ -62,14 +62,19 @@
 	Wrap      func(net.Conn) net.Conn                                // replaces each connection; for tests
 }
 
-// Dial connects to a TCP address before ctx ends.
+// Dial connects to a TCP address before ctx ends, and waits for a free descriptor up to MaxWait.
 func (d *Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
+	return d.DialWithin(ctx, address, MaxWait)
+}
+
+// DialWithin is Dial with a shorter wait for a free descriptor.
+func (d *Dialer) DialWithin(ctx context.Context, address string, wait time.Duration) (net.Conn, error) {
 	var dialer net.Dialer
 	if d != nil {
 		dialer.Control = d.Control
 	}
 	var exhausted error
-	for attempt := 1; ; attempt++ {
+	for waited := time.Duration(0); ; waited += dialRetryDelay {
 		conn, err := dialer.DialContext(ctx, "tcp", address)
 		if exhausted != nil && IsTimeout(err) {
 			return nil, exhausted // the cause, rather than the timeout that followed
@@ -77,7 +82,7 @@
 		if err == nil && d != nil && d.Wrap != nil {
 			conn = d.Wrap(conn)
 		}
-		if err == nil || !IsExhausted(err) || attempt == dialAttempts {
+		if err == nil || !IsExhausted(err) || waited+dialRetryDelay > wait {
 			return conn, err
 		}
 		exhausted = err
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -27,7 +27,7 @@
 	log        *zap.Logger
 	budget     *ring.Budget
 	// From the settings, in nanoseconds.
-	connectTimeout, idleTimeout atomic.Int64
+	connectTimeout, idleTimeout, descriptorWait atomic.Int64
 
 	mu      sync.Mutex
 	nodes   []*node // by node number
@@ -56,9 +56,23 @@
 // Configure applies the timeouts of the settings from now on.
 func (p *Pool) Configure(c *balance.Settings) {
 	p.connectTimeout.Store(c.ConnectTimeout)
+	p.descriptorWait.Store(int64(descriptorWait(c)))
 	p.idleTimeout.Store(max(c.IdleTimeout-2*c.ConnectTimeout, c.IdleTimeout/2)) // shorter than the node's own idle timeout
 }
 
+// descriptorWaitShare is the part of a class's target latency that an attempt may wait for a free descriptor. The
+// attempt then ends as not sent, long before the wait could be taken for the silence of its node.
+const descriptorWaitShare = 1.0 / 4
+
+// descriptorWait returns how long an attempt may wait for a free descriptor.
+func descriptorWait(c *balance.Settings) time.Duration {
+	wait := descriptors.MaxWait
+	for i := range c.Classes {
+		wait = min(wait, time.Duration(descriptorWaitShare*float64(c.Classes[i].TargetLatency)))
+	}
+	return wait
+}
+
 // SetNode implements dispatch.NodeRegistry. If the node has moved, the idle connections to its old address
 // are closed.
 func (p *Pool) SetNode(number int, name, address string) {
@@ -324,5 +338,5 @@
 func (p *Pool) dial(address string, deadline time.Time) (net.Conn, error) {
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	return p.Dialer.Dial(ctx, address)
+	return p.Dialer.DialWithin(ctx, address, time.Duration(p.descriptorWait.Load()))
 }
