discovery: a call goes on for 6 s beside newer ones, so that a late list counts

What callers saw: with a discovery that answers each call after 3 s, requests began at a draining node past its grace for as long as discovery stayed slow (TestDiscoveryAnswersAfterThreeSeconds, red always, 86 and 103 requests in 2 s).

Cause: a call was given up after 2.1 s, 0.9 s before its answer, so no list ever came; and a call given up counted as a discovery out of reach, so listAge.tooOld never held.

Change: where lists are asked for, a call is awaited for AnnouncedAfter beside newer ones. The first call answered becomes the watch and the others are closed at once, so discovery need not answer them. A call unanswered for 2.1 s still counts as evidence of a discovery that is down, as before; a late answer takes that back (Router.ListAnswered): discovery could be reached since the call began, and without a list nothing is sent from 6 s on. Without the report at 2.1 s a discovery that refuses one call and then falls silent would stop the service; with it taken out TestDiscoveryThatNeverAnswersStopsNothing fails (494 of 558 requests served). A canceled call's connection is closed: its past deadline could be overwritten by the next read. A change of address also ends calls that are still connecting.

Bounds of tests: TestSilentWatch ("response header") and TestSlowCallIsAwaitedWhereListIsAskedFor stand word for word; their upper bound is queuedCallTimeout, which is 6 s now by this change, not 2.1 s. That another call begins beside a hanging one in time is checked by the same tests as before.

Failed before, pass now: TestDiscoveryAnswersAfterThreeSeconds; four of six cases of TestSlowDiscovery (88 to 93 requests past the grace); 18 cases with answers after 3 to 5 s of TestSlowDiscoveryBringsListInTime; TestSlowCallContinuesBesideNewerCalls; TestOldestCallKeepsSlotWhereListIsAskedFor; TestLongCallsEndWithAddressAndClient; TestSlowQueueServesAllRouters (some router had no list after 10 s; now all after 4.0 s). TestLateAnswerWithoutListStopsAttempts and TestAnswerBesideOpenWatchIsNoEvidence fail with the withdrawal, or the condition on the open watch, taken out. Guards that passed before as well: answers after 1 and 2 s, TestDiscoveryThatNeverAnswersStopsNothing, TestSilentWatchAtSlowDiscovery.

--- a/balance/list.go
+++ b/balance/list.go
@@ -5,15 +5,15 @@
 // listAge tracks how old the router's knowledge of the list may be. Times are in nanoseconds.
 type listAge struct {
 	watchOpen      bool  // a watch is open, or a call is in progress whose end will be reported
-	refused        bool  // discovery was reachable but refused a call, since the list was last received
+	reached        bool  // discovery has answered a call without bringing the list, since the list was last received
 	knownAt        int64 // time as of which the list is known, unless watchOpen
-	unreachableAt  int64 // when discovery was last unreachable
+	unreachableAt  int64 // start of the newest call that discovery has not answered, by what is known
 	announcedAfter int64 // time after which a change is taken to be known to all, received or not; 0: no limit
 	watchTimeout   int64 // time after which a watch that has gone silent is found to be broken
 }
 
 // recordUpdate records that the list was received.
-func (a *listAge) recordUpdate(now int64) { a.watchOpen, a.refused, a.knownAt = true, false, now }
+func (a *listAge) recordUpdate(now int64) { a.watchOpen, a.reached, a.knownAt = true, false, now }
 
 // recordWatchLoss records that the watch has broken; it may have been silent for watchTimeout before.
 func (a *listAge) recordWatchLoss(now int64) {
@@ -22,18 +22,32 @@
 	}
 }
 
+// recordAnswer records that discovery has answered a call that began at startedAt. Until then a slow discovery looked
+// like one that is down; now it is known to have been reachable since the call began.
+func (a *listAge) recordAnswer(startedAt int64) {
+	if !a.watchOpen {
+		a.reached = true
+	}
+	a.unreachableAt = min(a.unreachableAt, startedAt)
+}
+
 // tooOld reports whether nodes may have been drained or removed without this router knowing: discovery is reachable,
 // but the list has not been received for as long as its changes take to be known to all. That a node still answers
 // proves nothing: it may have been removed, or be listed again as another node. This prevents attempts at nodes that have
-// left while discovery is overloaded. Its cost is that the router serves nobody until discovery accepts one of its calls.
+// left while discovery is overloaded or slow. Its cost is that the router serves nobody until discovery brings the list.
+// A discovery that answers no call counts as down, and the router goes on with the list that it has.
 func (a *listAge) tooOld(now int64) bool {
-	return a.announcedAfter > 0 && !a.watchOpen && a.refused && now > max(a.knownAt, a.unreachableAt)+a.announcedAfter
+	return a.announcedAfter > 0 && !a.watchOpen && a.reached && now > max(a.knownAt, a.unreachableAt)+a.announcedAfter
 }
 
 // ListRefused records that discovery was reachable but refused a call.
-func (r *Router) ListRefused() { r.list.refused = true }
+func (r *Router) ListRefused() { r.list.reached = true }
+
+// ListAnswered records that discovery has answered a call that began at the given time, whether or not the list follows.
+func (r *Router) ListAnswered(startedAt int64) { r.list.recordAnswer(startedAt) }
 
-// ListUnreachable records that discovery was unreachable at the given time: a call made then was not answered at all.
+// ListUnreachable records that discovery was unreachable at the given time: a call made then has not been answered. An
+// answer that comes later takes this back.
 func (r *Router) ListUnreachable(at int64) { r.list.unreachableAt = max(r.list.unreachableAt, at) }
 
 // noPrimaryReason returns why a request found no primary to go to.
--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -18,7 +18,8 @@
 
 // Timeouts that follow from discovery's protocol. While nothing changes, a watch carries an empty line every
 // 2 s. A watch that is silent for half as long again is broken, and so is a list that starts and does not end.
-// Discovery answers a call at once or not at all.
+// Where lists are pushed, discovery answers a call at once or not at all. Where they are asked for, a slow discovery
+// and one that is down look the same until a call is answered.
 //
 // A change that a silent watch misses counts as announced 6 s later, and so does everything in discovery's
 // list 6 s after discovery became reachable; docs/told.md adds up these times. Where lists are pushed, the contents
@@ -29,8 +30,12 @@
 	silenceTimeout    = heartbeatInterval + heartbeatInterval/2
 	// headerTimeout is the longest wait for a response header before a hedged call starts.
 	headerTimeout = heartbeatInterval / 2
-	// queuedCallTimeout is the longest wait for a response header where discovery serves calls one at a time.
-	queuedCallTimeout = heartbeatInterval + heartbeatInterval/16
+	// queuedAnswerTime is the time within which a discovery that serves calls one at a time answers or refuses
+	// a call. A call without a response for longer counts as unanswered, although it continues.
+	queuedAnswerTime = heartbeatInterval + heartbeatInterval/16
+	// queuedCallTimeout is the longest wait for a response header where lists are asked for. The call continues
+	// beside newer ones, since a list that arrives before its changes count as announced is in time.
+	queuedCallTimeout = AnnouncedAfter
 	// fullListTimeout is the longest time from the response header to the end of the full list.
 	fullListTimeout = heartbeatInterval / 2
 
@@ -57,9 +62,9 @@
 	return max(headerTimeout/16, min(headerTimeout, time.Duration(settings.DrainGrace))/4)
 }
 
-// answerTimeout returns how long a call may take up to the end of its response header. Where lists are
-// asked for, discovery serves the calls of all routers one at a time: a call abandoned earlier would be
-// answered for nobody, and its successor would queue behind all others again.
+// answerTimeout returns how long a watch's call may take up to the end of its response header. Where lists are
+// asked for, discovery may be slow, or serve the calls of all routers one at a time: a call abandoned earlier
+// would be answered for nobody, and its successor would queue behind all others again.
 func answerTimeout(settings *balance.Settings) time.Duration {
 	if !settings.ListPushed {
 		return queuedCallTimeout
@@ -67,6 +72,29 @@
 	return headerTimeout
 }
 
+// request is a call for the list.
+type request struct {
+	target   string
+	since    progress // of the endpoint, when the call is made
+	timeout  time.Duration
+	forWatch bool // made by Watch; it is canceled as soon as another call has become the watch
+}
+
+// watchRequest returns a request of Watch, which may wait for its response for as long as the list can be in time.
+func (c *Client) watchRequest(target string, since progress) request {
+	return request{target: target, since: since, timeout: time.Duration(c.answerTimeout.Load()), forWatch: true}
+}
+
+// refetchRequest returns a request for the full list beside a watch. If it is not answered soon, the watch's
+// successor fetches the list.
+func (c *Client) refetchRequest(target string, since progress) request {
+	timeout := min(time.Duration(c.answerTimeout.Load()), queuedAnswerTime)
+	return request{target: target, since: since, timeout: timeout}
+}
+
+// listsAskedFor reports whether lists are asked for rather than pushed.
+func (c *Client) listsAskedFor() bool { return c.answerTimeout.Load() > int64(headerTimeout) }
+
 // progress is the state of an endpoint's lists at one moment: the version of the last list and the number
 // received.
 type progress struct {
@@ -87,8 +115,13 @@
 // fetchFullList asks for the full list once. It returns io.EOF once the list has arrived completely. If
 // onSlow is not nil, it is called when the list does not arrive within the hedge delay.
 func (c *Client) fetchFullList(ep *endpoint, target string, onSlow func()) error {
+	return c.fetchLists(ep, c.refetchRequest(target, c.progress(ep)), onSlow)
+}
+
+// fetchLists makes a request that is no watch, and applies all lists of its response.
+func (c *Client) fetchLists(ep *endpoint, req request, onSlow func()) error {
 	defer c.startHedgeTimer(ep, onSlow)()
-	resp, err := c.roundTrip(ep, target, c.progress(ep))
+	resp, err := c.roundTrip(ep, req)
 	if err != nil {
 		return err
 	}
@@ -105,7 +138,8 @@
 func (c *Client) openWatch(ep *endpoint, onSlow func()) (*response, error) {
 	defer c.startHedgeTimer(ep, onSlow)()
 	since := c.progress(ep)
-	resp, err := c.roundTrip(ep, fmt.Sprintf("%s?stream=1&index=%d", hostsPath, since.version), since)
+	target := fmt.Sprintf("%s?stream=1&index=%d", hostsPath, since.version)
+	resp, err := c.roundTrip(ep, c.watchRequest(target, since))
 	if err != nil {
 		return nil, err
 	}
@@ -113,64 +147,77 @@
 	return resp, nil
 }
 
-// startHedgeTimer calls onSlow after the hedge delay unless it is stopped before. It does nothing while
-// discovery is known to be refusing calls and serves them one at a time: a second call would add to its
-// load.
+// startHedgeTimer calls onSlow after the hedge delay unless it is stopped before. While discovery is known to be
+// refusing calls and serves them one at a time, a second call would add to its load: then the delay is as long as
+// such a discovery may take to answer.
 func (c *Client) startHedgeTimer(ep *endpoint, onSlow func()) (stop func()) {
-	delay := time.Duration(c.hedgeDelay.Load())
-	if onSlow == nil || c.hasRefusedCall(ep) && c.answerTimeout.Load() > int64(headerTimeout) {
+	if onSlow == nil {
 		return func() {}
 	}
+	delay := time.Duration(c.hedgeDelay.Load())
+	if c.listsAskedFor() && c.hasRefusedCall(ep) {
+		delay = queuedAnswerTime
+	}
 	timer := recovery.AfterFunc(c.log, "hedged list call", delay, onSlow)
 	return func() { timer.Stop() }
 }
 
-// roundTrip sends one request and reads the header of its response. It fails when that takes longer than
-// the answer timeout, or when its slot is needed for a newer call.
-func (c *Client) roundTrip(ep *endpoint, target string, since progress) (resp *response, err error) {
-	start := time.Now()
-	ctx, cancel := context.WithTimeout(c.ctx, time.Duration(c.answerTimeout.Load()))
+// roundTrip sends one request and reads the header of its response. It fails when that takes longer than the
+// request's timeout, when its slot is needed for a newer call, or when another call has become the watch.
+func (c *Client) roundTrip(ep *endpoint, req request) (resp *response, err error) {
+	ctx, cancel := context.WithTimeout(c.ctx, req.timeout)
 	defer cancel()
-	pending := c.addPending(cancel)
-	defer c.removePending(pending)
-	conn, err := c.connect(ctx, ep)
+	call := c.addPending(ep, req, cancel)
+	defer c.removePending(call)
+	defer c.startUnansweredTimer(call)()
+	conn, err := c.connect(ctx, call)
 	if err != nil {
-		c.reportCallFailure(ep, start, err)
+		c.reportCallFailure(call, err)
 		return nil, err
 	}
-	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(ring.PastDeadline) })
-	resp, err = c.sendRequest(ep, conn, target)
-	if !stop() && err == nil {
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	resp, err = c.sendRequest(ep, conn, req)
+	if !stop() {
 		err = ctx.Err()
 	}
 	if err != nil {
-		if !errors.Is(ctx.Err(), context.Canceled) { // otherwise it was canceled to free its slot
-			c.reportCallFailure(ep, start, err)
-		}
+		c.reportCallFailure(call, err)
 		c.closeConn(conn)
 		return nil, err
 	}
-	resp.since = since
+	c.recordAnswer(call)
 	return resp, nil
 }
 
+// startUnansweredTimer tells the dispatcher, unless it is stopped before, that the call has had no response for longer
+// than a discovery that serves calls one at a time needs. The call continues: a late response proves that discovery
+// was slow.
+func (c *Client) startUnansweredTimer(call *pendingCall) (stop func()) {
+	if call.timeout <= queuedAnswerTime {
+		return func() {}
+	}
+	timer := recovery.AfterFunc(c.log, "unanswered list call", queuedAnswerTime, func() { c.reportUnanswered(call) })
+	return func() { timer.Stop() }
+}
+
 // sendRequest writes the request and reads the header of the response.
-func (c *Client) sendRequest(ep *endpoint, conn net.Conn, target string) (*response, error) {
+func (c *Client) sendRequest(ep *endpoint, conn net.Conn, req request) (*response, error) {
 	if !c.register(ep, conn) {
 		return nil, net.ErrClosed
 	}
 	out := ring.New(ring.InitialSize, ring.InitialSize, nil)
-	fmt.Fprintf(out, "GET %s HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n", target, ep.address)
+	fmt.Fprintf(out, "GET %s HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n", req.target, ep.address)
 	if err := out.Flush(conn); err != nil {
 		return nil, err
 	}
 	reader := &deadlineReader{endpoint: ep, conn: conn, buffer: ring.New(ring.InitialSize, ring.InitialSize, nil),
-		deadline: time.Now().Add(time.Duration(c.answerTimeout.Load()))}
+		deadline: time.Now().Add(req.timeout)}
 	body, err := readResponse(bufio.NewReader(reader))
 	if err != nil {
 		return nil, err
 	}
-	return &response{conn: conn, reader: reader, body: body}, nil
+	reader.headerRead = true
+	return &response{conn: conn, reader: reader, body: body, since: req.since}, nil
 }
 
 // readLists applies each list of a response. It returns io.EOF at the end of a complete body.
@@ -215,19 +262,20 @@
 }
 
 // deadlineReader reads from a connection through a buffer. A read fails when nothing arrives within the
-// silence timeout, after the deadline by which the current list has to be complete, or after the
-// endpoint's watch deadline.
+// silence timeout, after the deadline by which the header or the current list has to be complete, or after the
+// endpoint's watch deadline. A header that arrives late does not count as silence.
 type deadlineReader struct {
-	endpoint *endpoint
-	conn     net.Conn
-	buffer   *ring.Ring
-	deadline time.Time // zero: none
+	endpoint   *endpoint
+	conn       net.Conn
+	buffer     *ring.Ring
+	deadline   time.Time // zero: none
+	headerRead bool      // the response header has been read
 }
 
 func (r *deadlineReader) Read(p []byte) (int, error) {
 	if r.buffer.Len() == 0 {
 		deadline := time.Now().Add(silenceTimeout)
-		if !r.deadline.IsZero() && r.deadline.Before(deadline) {
+		if !r.deadline.IsZero() && (!r.headerRead || r.deadline.Before(deadline)) {
 			deadline = r.deadline
 		}
 		if watchDeadline := r.endpoint.watchDeadline.Load(); watchDeadline != nil && watchDeadline.Before(deadline) {
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -93,6 +94,7 @@
 	}
 	old := c.current
 	c.previous, c.current = old, &endpoint{address: address, needsFullList: true}
+	c.cancelPendingLocked(func(*pendingCall) bool { return true })
 	for conn := range c.conns {
 		if conn != old.watch {
 			conn.Close()
@@ -116,7 +118,8 @@
 }
 
 // Watch follows changes of the list until the watch ends, and reports its end to the dispatcher. On a new
-// endpoint it fetches the full list first, since versions may be numbered differently there.
+// endpoint it fetches the full list first, since versions may be numbered differently there. Several may run at once:
+// a call that is not answered continues beside newer ones, and the first that is answered becomes the watch.
 func (c *Client) Watch() {
 	c.mu.Lock()
 	ep := c.current
@@ -128,17 +131,23 @@
 	c.mu.Unlock()
 	// A call made while discovery was down may never be answered. The dispatcher then starts another Watch in
 	// parallel, and the first call to be answered becomes the watch. Until then each Watch reports at most one
-	// failure.
+	// failure, and none once another has become the watch.
 	var once sync.Once
 	reportOnce := func(message string, err error) {
-		once.Do(func() { c.reportFailure(ep, message, err) })
+		if !c.hasWatch(ep) {
+			once.Do(func() { c.reportFailure(ep, message, err) })
+		}
 	}
 	onSlow := func() { reportOnce("discovery does not answer at once", nil) }
 	if needsFullList {
-		if err := c.fetchFullList(ep, hostsPath, onSlow); err != io.EOF {
+		err := c.fetchLists(ep, c.watchRequest(hostsPath, c.progress(ep)), onSlow)
+		if err != io.EOF {
 			reportOnce("the watch on the list ended", err)
 			return
 		}
+		if c.hasWatch(ep) {
+			return
+		}
 	}
 	resp, err := c.openWatch(ep, onSlow)
 	if err != nil {
@@ -156,14 +165,23 @@
 }
 
 // claimWatch makes conn the endpoint's watch unless there is one already, and reports whether conn is the
-// watch.
+// watch. All other calls that could have become the watch end, so that discovery need not answer them.
 func (c *Client) claimWatch(ep *endpoint, conn net.Conn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if ep.watch == nil {
-		ep.watch = conn
+	if ep.watch != nil {
+		return false
 	}
-	return ep.watch == conn
+	ep.watch = conn
+	c.cancelPendingLocked(func(call *pendingCall) bool { return call.endpoint == ep && call.forWatch })
+	return true
+}
+
+// hasWatch reports whether the endpoint has an open watch.
+func (c *Client) hasWatch(ep *endpoint) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return ep.watch != nil
 }
 
 func (c *Client) releaseWatch(ep *endpoint) {
@@ -251,20 +269,46 @@
 	}
 }
 
-// reportCallFailure tells the dispatcher what a failed call, started at the given time, says about whether
-// discovery is reachable.
-func (c *Client) reportCallFailure(ep *endpoint, start time.Time, err error) {
+// reportCallFailure tells the dispatcher what a failed call says about whether discovery is reachable.
+func (c *Client) reportCallFailure(call *pendingCall, err error) {
 	var refusal *refusedError
 	wasRefused := errors.As(err, &refusal)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.current != ep:
+	case c.current != call.endpoint || call.canceled:
 	case wasRefused:
-		ep.refusedCall = true
+		call.endpoint.refusedCall = true
+		c.recordAnswerLocked(call)
 		c.dispatcher.ListRefused()
 	case isUnreachable(err):
-		c.dispatcher.ListUnreachable(time.Since(start))
+		c.dispatcher.ListUnreachable(time.Since(call.start))
+	}
+}
+
+// reportUnanswered tells the dispatcher that a pending call has had no response so far.
+func (c *Client) reportUnanswered(call *pendingCall) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.current == call.endpoint && slices.Contains(c.pending, call) {
+		c.dispatcher.ListUnreachable(time.Since(call.start))
+	}
+}
+
+// recordAnswer takes an answered call off the pending calls and tells the dispatcher that discovery could be reached
+// since the call started.
+func (c *Client) recordAnswer(call *pendingCall) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recordAnswerLocked(call)
+}
+
+// recordAnswerLocked is recordAnswer for a caller that holds the lock. Where lists are pushed, a response header tells
+// nothing: what discovery has counts as announced at its return, without the time that the router allows elsewhere.
+func (c *Client) recordAnswerLocked(call *pendingCall) {
+	c.removePendingLocked(call)
+	if c.current == call.endpoint && c.listsAskedFor() {
+		c.dispatcher.ListAnswered(time.Since(call.start))
 	}
 }
 
--- a/internal/dispatch/list.go
+++ b/internal/dispatch/list.go
@@ -101,7 +101,15 @@
 	d.router.ListRefused()
 }
 
-// ListUnreachable tells the router that a call to discovery, which began the given time ago, got no answer at all.
+// ListAnswered tells the router that discovery has answered a call which began the given time ago, whether or not the
+// list follows.
+func (d *Dispatcher) ListAnswered(ago time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.router.ListAnswered(d.Now() - int64(ago))
+}
+
+// ListUnreachable tells the router that a call to discovery, which began the given time ago, has had no answer.
 func (d *Dispatcher) ListUnreachable(ago time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
