balance: nothing is sent by an old list while a slow discovery may still answer

What callers saw: behind a watch that falls silent, a discovery that answers each call after 4 or 5 s brings the change 7.25 or 8.25 s after the silence, while it counts as told after 6 s: 13 and 44 requests began at a node past its grace (TestSilentWatchAtSlowDiscovery, one play each).

Cause: the silence is noticed after 3 s and the call begins at 3.25 s, so no call answered after more than 2.75 s can be in time; and until an answer comes a slow discovery counts as one that is down.

Change: listAge keeps how long the last answer took. From 6 s behind the last list on, nothing is sent while the first call since the loss of the watch is younger than that and a quarter: the list may still be on its way. Then, or once a connection or call fails, discovery counts as down and the router serves by its list. A call fails after 6 s, so a slow discovery that goes down stops the service for at most 3.25 s, once (last rejection 8.9 s behind the silence in one play, 9.25 s by the sum). Answers of up to 2.2 s stop nothing.

Failed before, pass now: the cases "4 s" and "5 s" of TestSilentWatchAtSlowDiscovery (629 of 641 and 570 of 588 requests served, none late, one play each); TestSlowAnswersStopAttemptsUntilOverdue. "2 s", "3 s" and TestSlowDiscoveryGoesDown passed before as well; they guard against stopping too long.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -228,6 +228,7 @@
 func (r *Router) OnTimer(now int64) {
 	if r.listOnRequest && r.nextListCallAt > 0 && now >= r.nextListCallAt {
 		r.nextListCallAt, r.listCalledAt = 0, now
+		r.list.recordCall(now)
 		r.actions.WatchList()
 	}
 	r.settleClock()
--- a/balance/list.go
+++ b/balance/list.go
@@ -8,12 +8,26 @@
 	reached        bool  // discovery has answered a call without bringing the list, since the list was last received
 	knownAt        int64 // time as of which the list is known, unless watchOpen
 	unreachableAt  int64 // start of the newest call that discovery has not answered, by what is known
+	firstCallAt    int64 // start of the first call since the watch broke; 0: none yet
+	answerTime     int64 // that discovery needed for the last call it answered; 0: none, or a call has failed since
 	announcedAfter int64 // time after which a change is taken to be known to all, received or not; 0: no limit
 	watchTimeout   int64 // time after which a watch that has gone silent is found to be broken
 }
 
+// answerTimeSpread is the share by which an answer of discovery may take longer than the one before.
+const answerTimeSpread = 0.25
+
 // recordUpdate records that the list was received.
-func (a *listAge) recordUpdate(now int64) { a.watchOpen, a.reached, a.knownAt = true, false, now }
+func (a *listAge) recordUpdate(now int64) {
+	a.watchOpen, a.reached, a.knownAt, a.firstCallAt = true, false, now, 0
+}
+
+// recordCall records that a call begins.
+func (a *listAge) recordCall(now int64) {
+	if !a.watchOpen && a.firstCallAt == 0 {
+		a.firstCallAt = now
+	}
+}
 
 // recordWatchLoss records that the watch has broken; it may have been silent for watchTimeout before.
 func (a *listAge) recordWatchLoss(now int64) {
@@ -24,31 +38,52 @@
 
 // recordAnswer records that discovery has answered a call that began at startedAt. Until then a slow discovery looked
 // like one that is down; now it is known to have been reachable since the call began.
-func (a *listAge) recordAnswer(startedAt int64) {
+func (a *listAge) recordAnswer(now, startedAt int64) {
 	if !a.watchOpen {
 		a.reached = true
 	}
 	a.unreachableAt = min(a.unreachableAt, startedAt)
+	a.answerTime = now - startedAt
+}
+
+// awaitsSlowAnswer reports whether discovery, going by the time of its last answer, may still be about to answer the first
+// call since the watch broke: a slow discovery that is not known to be down.
+func (a *listAge) awaitsSlowAnswer(now int64) bool {
+	spread := int64(answerTimeSpread * float64(a.answerTime))
+	return a.firstCallAt > 0 && now < a.firstCallAt+a.answerTime+spread
 }
 
 // tooOld reports whether nodes may have been drained or removed without this router knowing: discovery is reachable,
 // but the list has not been received for as long as its changes take to be known to all. That a node still answers
 // proves nothing: it may have been removed, or be listed again as another node. This prevents attempts at nodes that have
 // left while discovery is overloaded or slow. Its cost is that the router serves nobody until discovery brings the list.
-// A discovery that answers no call counts as down, and the router goes on with the list that it has.
+// A discovery that answers no call counts as down, and the router goes on with the list that it has; if its last answer
+// was slow, only from the time on when the next would be overdue.
 func (a *listAge) tooOld(now int64) bool {
-	return a.announcedAfter > 0 && !a.watchOpen && a.reached && now > max(a.knownAt, a.unreachableAt)+a.announcedAfter
+	if a.announcedAfter == 0 || a.watchOpen {
+		return false
+	}
+	if a.awaitsSlowAnswer(now) && now > a.knownAt+a.announcedAfter {
+		return true
+	}
+	return a.reached && now > max(a.knownAt, a.unreachableAt)+a.announcedAfter
 }
 
 // ListRefused records that discovery was reachable but refused a call.
 func (r *Router) ListRefused() { r.list.reached = true }
 
 // ListAnswered records that discovery has answered a call that began at the given time, whether or not the list follows.
-func (r *Router) ListAnswered(startedAt int64) { r.list.recordAnswer(startedAt) }
+func (r *Router) ListAnswered(now, startedAt int64) { r.list.recordAnswer(now, startedAt) }
 
-// ListUnreachable records that discovery was unreachable at the given time: a call made then has not been answered. An
-// answer that comes later takes this back.
-func (r *Router) ListUnreachable(at int64) { r.list.unreachableAt = max(r.list.unreachableAt, at) }
+// ListUnanswered records that a call made at the given time has not been answered, and continues. An answer that comes
+// later takes this back.
+func (r *Router) ListUnanswered(at int64) { r.list.unreachableAt = max(r.list.unreachableAt, at) }
+
+// ListUnreachable records that discovery was unreachable at the given time: a call made then has failed without an answer.
+func (r *Router) ListUnreachable(at int64) {
+	r.list.unreachableAt = max(r.list.unreachableAt, at)
+	r.list.answerTime = 0
+}
 
 // noPrimaryReason returns why a request found no primary to go to.
 func (r *Router) noPrimaryReason(now int64) Reason {
@@ -93,6 +128,12 @@
 // RefreshList schedules a new call for the list at a random time soon, for example because discovery has another
 // address.
 func (r *Router) RefreshList(now int64) {
+	r.list.answerTime = 0
+	r.scheduleFirstCall(now)
+}
+
+// scheduleFirstCall schedules a call for the list at a random time soon.
+func (r *Router) scheduleFirstCall(now int64) {
 	r.list.recordWatchLoss(now)
 	r.listBackoff = r.minListBackoff
 	r.nextListCallAt = now + r.random.intN(r.maxFirstPause)
@@ -105,7 +146,7 @@
 	r.list.recordWatchLoss(now)
 	lasted := now - r.listCalledAt
 	if r.maxListCallSpacing > 0 && lasted > r.listCallTimeout*3/2 { // the call was answered, and its watch has broken
-		r.RefreshList(now)
+		r.scheduleFirstCall(now)
 		return
 	}
 	backoff := min(r.listBackoff, r.maxListBackoff)
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -291,7 +291,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.current == call.endpoint && slices.Contains(c.pending, call) {
-		c.dispatcher.ListUnreachable(time.Since(call.start))
+		c.dispatcher.ListUnanswered(time.Since(call.start))
 	}
 }
 
--- a/internal/dispatch/list.go
+++ b/internal/dispatch/list.go
@@ -106,10 +106,18 @@
 func (d *Dispatcher) ListAnswered(ago time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.router.ListAnswered(d.Now() - int64(ago))
+	now := d.Now()
+	d.router.ListAnswered(now, now-int64(ago))
+}
+
+// ListUnanswered tells the router that a call to discovery, which began the given time ago and goes on, has had no answer.
+func (d *Dispatcher) ListUnanswered(ago time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.router.ListUnanswered(d.Now() - int64(ago))
 }
 
-// ListUnreachable tells the router that a call to discovery, which began the given time ago, has had no answer.
+// ListUnreachable tells the router that a call to discovery, which began the given time ago, failed without an answer.
 func (d *Dispatcher) ListUnreachable(ago time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
