--- a/internal/dispatch/list.go
+++ b/internal/dispatch/list.go
@@ -101,7 +101,23 @@
 	d.router.ListRefused()
 }
 
-// ListUnreachable tells the router that a call to discovery, which began the given time ago, got no answer at all.
+// ListAnswered tells the router that discovery has answered a call which began the given time ago, whether or not the
+// list follows.
+func (d *Dispatcher) ListAnswered(ago time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Now()
+	d.router.ListAnswered(now, now-int64(ago))
+}
+
+// ListUnanswered tells the router that a call to discovery, which began the given time ago and goes on, has had no answer.
+func (d *Dispatcher) ListUnanswered(ago time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.router.ListUnanswered(d.Now() - int64(ago))
+}
+
+// ListUnreachable tells the router that a call to discovery, which began the given time ago, failed without an answer.
 func (d *Dispatcher) ListUnreachable(ago time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
