Tests: queries that a stop of the process leaves unanswered at its end

Callers saw their connection end without an answer 0.13 to 0.15 s after they had sent a request to a router that was ending and was stopped (SIGSTOP) just then.

The tests force it.

--- /dev/null
+++ b/cmd/sedgestream/stoppedatend_test.go
@@ -0,0 +1,182 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"sedgestream/internal/ring"
+	"sedgestream/internal/standin"
+)
+
+// Queries are written to a router process that is stopped while it closes its connections after SIGTERM: on
+// connections that it has not closed yet, singly and in pipelines, and on new ones in the listener's queue. Each of
+// them is answered. This guards against connections that are closed over a query that arrived during the stop.
+func TestQueriesWhileProcessIsStoppedAtItsEnd(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name string
+		open func(*standin.Harness) *standin.Client
+	}{
+		{"draining", openQueried},
+		{"closing", openUnqueried},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			for range maxEndStops {
+				if stopAtEnd(t, test.open) >= minAskedAtEnd {
+					return
+				}
+			}
+			t.Errorf("fewer than %d clients sent queries during each stop: the test checks too little", minAskedAtEnd)
+		})
+	}
+}
+
+const (
+	endStop       = 150 * time.Millisecond // how long the process is stopped
+	endClients    = 600                    // open connections as it is told to end
+	endNewClients = 20                     // connections opened while it is stopped
+	minAskedAtEnd = endClients / 10        // open connections with queries sent while it is stopped
+	maxEndStops   = 8                      // processes, until one has been stopped with so many open connections
+)
+
+// stopAtEnd stops a process while it closes its connections, and returns on how many open ones queries were sent
+// meanwhile.
+func stopAtEnd(t *testing.T, connect func(*standin.Harness) *standin.Client) (askedOpen int) {
+	primary, replica := standin.NewPair(t)
+	router := newRouter(t, primary, replica)
+	router.Limits = `{"cores":2,"memory_mb":192,"sockets":4096}`
+	router.Start(os.Args[0])
+	var open []*standin.Client
+	for range endClients {
+		open = append(open, connect(router))
+	}
+	router.Cmd.Process.Signal(syscall.SIGTERM)
+	awaitFirstEnd(t, open)
+	stopProcess(t, router)
+	var asked []*askedClient
+	for i, client := range open {
+		if !ring.HasPending(client.Conn) {
+			asked = append(asked, ask(client, 1+i%3))
+		}
+	}
+	queued := connectDuringStop(router, endNewClients)
+	time.Sleep(endStop)
+	router.Cmd.Process.Signal(syscall.SIGCONT)
+	t.Logf("queries on %d open connections of %d, and on %d new ones", len(asked), endClients, len(queued))
+	reportUnanswered(t, "an open connection", asked)
+	reportUnanswered(t, "a new connection", queued)
+	if err := <-router.Exit; err != nil {
+		t.Error(err)
+	}
+	for _, client := range open {
+		client.Conn.Close()
+	}
+	return len(asked)
+}
+
+// openQueried opens a connection that has been used.
+func openQueried(router *standin.Harness) *standin.Client {
+	client := router.Open("")
+	client.Expect("empty")
+	return client
+}
+
+// openUnqueried opens a connection that has not been used yet, which stays open while the router drains.
+func openUnqueried(router *standin.Harness) *standin.Client {
+	client := router.Dial()
+	client.Startup()
+	return client
+}
+
+// awaitFirstEnd waits until one of the connections has ended.
+func awaitFirstEnd(t *testing.T, clients []*standin.Client) {
+	t.Helper()
+	for deadline := time.Now().Add(standin.WaitTimeout); time.Now().Before(deadline); {
+		for _, client := range clients {
+			if ring.HasPending(client.Conn) {
+				return
+			}
+		}
+	}
+	t.Fatal("no connection has ended")
+}
+
+// stopProcess stops the router process and returns once it is stopped.
+func stopProcess(t *testing.T, router *standin.Harness) {
+	t.Helper()
+	router.Cmd.Process.Signal(syscall.SIGSTOP)
+	standin.WaitFor(t, "the process to be stopped", func() bool {
+		tasks, err := os.ReadDir(fmt.Sprintf("/proc/%d/task", router.Cmd.Process.Pid))
+		for _, task := range tasks {
+			stat, _ := os.ReadFile(fmt.Sprintf("/proc/%d/task/%s/stat", router.Cmd.Process.Pid, task.Name()))
+			if !strings.Contains(string(stat), ") T ") {
+				return false
+			}
+		}
+		return err == nil
+	})
+}
+
+// askedClient is a client with queries that it has sent.
+type askedClient struct {
+	*standin.Client
+	queries int
+}
+
+// ask sends queries at once.
+func ask(client *standin.Client, queries int) *askedClient {
+	for range queries {
+		client.Send(&pgproto3.Query{String: standin.ReadQuery(400)})
+	}
+	client.Flush()
+	return &askedClient{client, queries}
+}
+
+// connectDuringStop connects clients that send a query right after the startup message, unless the router does not
+// listen any more.
+func connectDuringStop(router *standin.Harness, count int) (connected []*askedClient) {
+	for range count {
+		conn, err := net.Dial("tcp", router.Address)
+		if err != nil {
+			return connected
+		}
+		conn.SetDeadline(time.Now().Add(standin.WaitTimeout))
+		client := standin.NewClient(nil, conn)
+		client.Send(&pgproto3.StartupMessage{ProtocolVersion: 196608, Parameters: map[string]string{"user": "worker"}})
+		connected = append(connected, ask(client, 1))
+	}
+	return connected
+}
+
+// reportUnanswered fails the test if one of the queries gets no answer.
+func reportUnanswered(t *testing.T, where string, clients []*askedClient) {
+	t.Helper()
+	unanswered := 0
+	for _, client := range clients {
+		for answered := 0; answered < client.queries; {
+			answer, err := client.ReadAnswer()
+			if err != nil && !isFinalRejection(answer) {
+				unanswered += client.queries - answered
+				break
+			}
+			if answer != "" { // otherwise the startup's
+				answered++
+			}
+		}
+		client.Conn.Close()
+	}
+	if unanswered > 0 {
+		t.Errorf("%d queries on %s got no answer", unanswered, where)
+	}
+}
+
+// isFinalRejection reports whether an answer is a rejection after which the connection has ended.
+func isFinalRejection(answer string) bool { return answer == "57P03" || answer == "53300" }
