frontend: no connection is closed on a look for input that a stop has made old

Seen by callers: a router that was told to end and was stopped for 0.15 s just then ended connections over requests that had arrived during the stop, with no answer.

Cause, by a trace of each look and each shutdown: Drain and Close hold the server's lock while they wake all connections. A woken goroutine looked at its socket, found nothing, and then waited for that lock in lingerClose before it shut the connection. With the process stopped within that loop, all connections closed over a query had looked right before and had waited 0.15 to 0.17 s for the lock (214 of 214, 35 of 35, 43 of 43). So the look that fill makes was there, and not missing, as had been thought. Three further ends had no look at all, or an old one: behind the close deadline (isPastCloseDeadline), behind the time for a first query, and at the listener, whose deadlines pass during a stop without a look at its queue.

All of these now end by closeUnlessPending: a look, the time that it took, and the system call that ends, with no lock in between. Behind the close deadline only what has arrived is read, 8 times a connection, and who still sends then gets a final 57P03; from the listener's queue 4096 connections are accepted, its length.

--- a/internal/frontend/client.go
+++ b/internal/frontend/client.go
@@ -48,6 +48,7 @@
 	exclusive           bool      // a long query is in flight, or waits for those before it; no other is started beside it
 	reserved            bool      // the regular connections were in use when it was accepted
 	endChecked          bool      // its socket has been checked for a disconnect since it was accepted, and since the last long write
+	lateReads           int       // reads after the server's closeDeadline
 	skipUntilSync       bool      // after an error in the extended query protocol
 }
 
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -44,7 +44,8 @@
 	closed         bool
 	accepting      bool      // Serve runs
 	acceptAfter    time.Time // nothing is accepted before, as descriptors are needed for other connections
-	closeDeadline  time.Time // once closed: when accepting from the listener's queue and reading of input end
+	closeDeadline  time.Time // once closed: from then on only what has arrived is accepted and read, a limited number of times
+	lateAccepts    int       // after the closeDeadline
 }
 
 // The platform requires that a client which sends unreadable input gets an answer, or the end of its
@@ -106,12 +107,18 @@
 		case errors.Is(err, net.ErrClosed):
 			return
 		case errors.Is(err, os.ErrDeadlineExceeded): // set by shouldAccept, once closed
-			return
+			if s.closeListenerUnlessPending() {
+				return
+			}
+			continue
 		case err != nil:
 			s.log.Warn("accept", zap.Error(err))
 			if descriptors.IsExhausted(err) {
 				s.closeOneIdle()
 			}
+			if s.isPastCloseDeadline() { // accepting could fail for any time
+				return
+			}
 			s.backlog.blocked.Store(true)
 			time.Sleep(acceptRetryDelay)
 			continue
@@ -148,7 +155,8 @@
 const acceptQuietPeriod = 10 * time.Millisecond
 
 // shouldAccept reports whether to accept more connections. Once the server is closed it gives the listener a
-// deadline of acceptQuietPeriod.
+// deadline of acceptQuietPeriod. After the closeDeadline it only lets those be accepted that are in the queue, of
+// which there may be maxListenQueue.
 func (s *Server) shouldAccept() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -156,11 +164,14 @@
 		return true
 	}
 	now := time.Now()
-	if l, ok := s.listener.(interface{ SetDeadline(time.Time) error }); !ok || now.After(s.closeDeadline) ||
-		l.SetDeadline(now.Add(acceptQuietPeriod)) != nil {
-		return false
+	if now.After(s.closeDeadline) {
+		s.lateAccepts++
+		if s.lateAccepts > maxListenQueue || s.closeListenerUnlessPending() {
+			return false
+		}
 	}
-	return true
+	l, ok := s.listener.(interface{ SetDeadline(time.Time) error })
+	return ok && l.SetDeadline(now.Add(acceptQuietPeriod)) == nil
 }
 
 // acceptRetryDelay is the pause after a failed accept. It gives a connection that is being closed the time to end.
@@ -257,8 +268,8 @@
 	return s.draining
 }
 
-// isPastCloseDeadline reports whether connections end without another look at their input. Otherwise a client
-// that keeps sending could hold up the shutdown forever.
+// isPastCloseDeadline reports whether what is still accepted and read is limited. Otherwise a client that keeps
+// sending could hold up the shutdown forever.
 func (s *Server) isPastCloseDeadline() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/frontend/read.go
+++ b/internal/frontend/read.go
@@ -34,8 +34,8 @@
 	// may have come before the deadline was set, so look for the record. Input that has arrived by then must
 	// be answered, and is read.
 	if c.idleSince.Load() == idleClosing || !busy && c.server.shouldEnd(c.hasQueried.Load() && c.in.Len() == 0) {
-		if c.server.isPastCloseDeadline() || !ring.HasPending(c.sock) {
-			return errClose
+		if err := c.end(); err != nil {
+			return err
 		}
 		c.sock.SetReadDeadline(time.Now().Add(readTimeout))
 	}
@@ -45,15 +45,14 @@
 	n, err := c.fill(deadline)
 	if c.idleSince.Swap(0) == idleClosing {
 		if n == 0 {
-			return errClose
+			if err := c.end(); err != nil {
+				return err
+			}
 		}
 		c.server.notifyChanged() // the query is served, so another connection has to end instead of this one
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) && (deadline.IsZero() || time.Now().Before(deadline)) {
-		return nil // interrupted, perhaps late for a reason that is gone
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.in.Len() > 0 {
-		return c.sendFatal(pg.ProtocolViolation, "the message took too long")
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return c.handleReadDeadline(deadline)
 	}
 	if !wasFull { // otherwise the input to process next has been read before
 		c.readAt = c.server.dispatcher.Now()
@@ -62,6 +61,18 @@
 	return err
 }
 
+// handleReadDeadline handles a read without input that ended by a deadline: the given one, or one that was set
+// to wake the goroutine.
+func (c *client) handleReadDeadline(deadline time.Time) error {
+	if deadline.IsZero() || time.Now().Before(deadline) {
+		return nil // woken, perhaps late for a reason that is gone
+	}
+	if c.in.Len() > 0 {
+		return c.sendFatal(pg.ProtocolViolation, "the message took too long")
+	}
+	return c.end()
+}
+
 // prepareRead prepares to read from a client without requests in flight. It returns the deadline of the read,
 // zero for none.
 func (c *client) prepareRead() (deadline time.Time, err error) {
--- a/internal/pg/message.go
+++ b/internal/pg/message.go
@@ -142,6 +142,7 @@
 // The SQLSTATE codes of errors that the router reports itself.
 const (
 	tooManyConnections  = "53300" // too_many_connections: the request did not run, so a retry is harmless
+	CannotConnectNow    = "57P03" // cannot_connect_now: the requests without an answer did not run, so a retry is harmless
 	OutOfMemory         = "53200" // out_of_memory
 	queryCanceled       = "57014" // query_canceled: whether the request ran is not known
 	SyntaxError         = "42601" // syntax_error
