frontend: looks before a close are repeated 16 times at most

A process that gets so little of a processor that each look takes over 1 ms would never have closed its connections. By reading; TestCloseAlthoughEveryLookIsSlow steps through it, and would not end without the bound.

--- a/internal/frontend/crossing.go
+++ b/internal/frontend/crossing.go
@@ -8,20 +8,24 @@
 )
 
 // maxLookAge is how old the last look for input may be when what it looked at is closed. Without a stall, a look
-// takes some microseconds.
-const maxLookAge = time.Millisecond
+// takes some microseconds. After maxLooks the last one counts whatever its age, for a process that gets so little
+// processor time that every look takes longer.
+const (
+	maxLookAge = time.Millisecond
+	maxLooks   = 16
+)
 
 // closeUnlessPending closes something if nothing is pending there, and reports whether it has. The process may be
 // stalled between the look and the close, and what arrives meanwhile must be answered. So closeIf closes only if the
 // look is recent, by the function that it is given and calls right before the system call; otherwise the look is
 // repeated. No lock may be taken and nothing awaited in between.
 func closeUnlessPending(isPending func() bool, closeIf func(isRecent func() bool) (closed bool)) (closed bool) {
-	for !closed {
+	for looks := 1; !closed; looks++ {
 		lookedAt := time.Now()
 		if isPending() {
 			return false
 		}
-		closed = closeIf(func() bool { return time.Since(lookedAt) <= maxLookAge })
+		closed = closeIf(func() bool { return time.Since(lookedAt) <= maxLookAge || looks >= maxLooks })
 	}
 	return true
 }
--- a/internal/frontend/crossing_test.go
+++ b/internal/frontend/crossing_test.go
@@ -211,3 +211,17 @@
 		})
 	}
 }
+
+// A process that gets so little processor time that every look takes long still closes its connections.
+func TestCloseAlthoughEveryLookIsSlow(t *testing.T) {
+	looks := 0
+	slowLook := func() bool {
+		looks++
+		time.Sleep(2 * maxLookAge)
+		return false
+	}
+	closed := closeUnlessPending(slowLook, func(isRecent func() bool) bool { return isRecent() })
+	if !closed || looks != maxLooks {
+		t.Errorf("closed %t after %d looks, want it after %d", closed, looks, maxLooks)
+	}
+}
