balance: an answer that waits unread in a stall is no sign of load

Cause: the time that an attempt took counts in full for the node's concurrency limit and the class's mean time, and the answers to all attempts in flight wait unread during a stop.

Change: the time of a stall is taken off there too. An answer may be read before the late timer fires, so its end looks for the timer's delay as well; each moment of a stall counts once.

Measured: TestStallIsNoLoad failed before in both orders (the limit fell from 4 to 2.07) and passes; the tests of balance and dispatch pass.

--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -68,6 +68,8 @@
 	}
 	attempt := &req.attempts[attemptIndex]
 	node, class := &r.nodes[attempt.node], &r.classes[req.class]
+	r.recordTimerDelay(now)
+	took = r.runningTime(attempt, took)
 	attempt.inFlight, attempt.outcome = false, outcome
 	req.countNotSent(outcome)
 	if req.inFlight--; !attempt.lost {
--- a/balance/stall.go
+++ b/balance/stall.go
@@ -8,13 +8,14 @@
 // catchUpTime is how long, in ns, the process takes after a stall to read what has arrived meanwhile.
 const catchUpTime = int64(30e6)
 
-// recordTimerDelay records a stall of the process if the timer has fired late. Delays of a sweep interval or less are
-// ordinary.
+// recordTimerDelay records a stall of the process if the timer fires late, or is late when an attempt ends. Delays of a
+// sweep interval or less are ordinary.
 func (r *Router) recordTimerDelay(now int64) {
 	if r.timerAt == math.MaxInt64 || now-r.timerAt <= r.sweepInterval {
 		return
 	}
-	r.stalledFor += now - r.timerAt
+	r.stalledFor += now - max(r.timerAt, r.stallRecordedAt)
+	r.stallRecordedAt = now
 	r.caughtUpAt = now + catchUpTime
 }
 
@@ -24,6 +25,11 @@
 	return now >= r.caughtUpAt && now-attempt.sentAt-r.stallDuring(attempt) > targetLatency
 }
 
+// runningTime returns the time that an attempt took, without that in which the process was stalled.
+func (r *Router) runningTime(attempt *attemptRecord, took int64) int64 {
+	return max(0, took-r.stallDuring(attempt))
+}
+
 // stallDuring returns for how long the process has been stalled since an attempt was sent.
 func (r *Router) stallDuring(attempt *attemptRecord) int64 {
 	return r.stalledFor - attempt.stalledBefore
--- a/balance/stall_test.go
+++ b/balance/stall_test.go
@@ -41,3 +41,29 @@
 		t.Fatalf("%+v", *node)
 	}
 }
+
+// Answers that wait unread in a stall say nothing of how loaded their node is, whether they are read before the timer
+// fires or after it.
+func TestStallIsNoLoad(t *testing.T) {
+	const node, answerTime = 1, 20 * ms
+	for name, timerFirst := range map[string]bool{"answer read first": false, "timer first": true} {
+		t.Run(name, func(t *testing.T) {
+			h := newThreeNodeHarness(testSettings(), 0, 5000*ms)
+			h.timerOnly = true
+			before := h.router.nodes[node].limit.size
+			for range 8 {
+				h.reportNode(node, Replica, h.now)
+				h.accept(int(Bounded), 0, 2000*ms, 0)
+				h.now += 2 * h.settings.Classes[Bounded].TargetLatency // nothing of the process runs
+				if timerFirst {
+					h.router.OnTimer(h.now)
+				}
+				endWithOutcome(h, len(h.attempts)-1, Succeeded)
+				h.advance(answerTime)
+			}
+			if limit := h.router.nodes[node].limit.size; limit < before {
+				t.Errorf("the concurrency limit fell from %v to %v", before, limit)
+			}
+		})
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -34,6 +34,7 @@
 	sweptAt                        int64 // when OnTimer last ran
 	timerAt                        int64 // when the timer fires
 	stalledFor                     int64 // how long the process has been stalled since the start, as far as its timer shows
+	stallRecordedAt                int64 // until when stalledFor counts
 	caughtUpAt                     int64 // when what arrived during the last stall has been read
 	ejectionTime                   int64
 	halfDrainGrace                 int64 // half of Settings.DrainGrace
