--- a/internal/frontend/cancel_test.go
+++ b/internal/frontend/cancel_test.go
@@ -48,7 +48,7 @@
 }
 
 // serveConnection serves a connection and returns its client, which has started its session.
-func serveConnection(t *testing.T, s *Server, near, far *net.TCPConn) *standin.Client {
+func serveConnection(t *testing.T, s *Server, near, far net.Conn) *standin.Client {
 	c := newClient(s, near)
 	s.mu.Lock()
 	s.clients[c] = struct{}{}
