frontend: cancel requests wait for goroutines that have not run since their system call

Callers saw attempts begin up to 0.2 s after their clients had canceled them, one in about twenty plays of TestClientsGoneWhileProcessIsStopped: the process was stopped while the goroutine that had written an answer, or read the next query, was inside its system call. When the process continued, the cancel request was processed before that goroutine ran. The answer still counted as being written, or the query was neither in the socket nor marked as read, so the cancel request was dropped after one more look 0.2 ms later. The lines are in cancelOldest and hasUnread.

A cancel request now waits until these goroutines have run: until the answer has been written, if all bytes sent so far are acknowledged (a client that has read the answer has acknowledged it), and until the connection's goroutine, which is interrupted, has processed what it had read. Attempts wait for the cancel request meanwhile as before, since its connection counts as not examined. What awaitOldest finds unread is marked by its own result: a second look could come between the read and its mark. Of pipelined queries the one behind an answer that is being written is not canceled, as before.

The read path gains one atomic addition.

--- a/internal/frontend/answers.go
+++ b/internal/frontend/answers.go
@@ -22,6 +22,8 @@
 	parts       [][]byte                // the messages of the answer, nil until there is one
 	budgetBytes int                     // bytes taken from the budget while the answer waits for those before it
 
+	followsAnswers bool // its query was read when no other was without an answer
+
 	isCanceled atomic.Bool // by a cancel request
 }
 
--- a/internal/frontend/cancel.go
+++ b/internal/frontend/cancel.go
@@ -77,14 +77,10 @@
 // connections, so the cancel request may be read first. The cost is that a client which sends its next query
 // before it can know that its cancel request came too late gets that query canceled.
 func (c *client) cancelOldest() {
-	oldest := c.oldestUnanswered()
-	if oldest == nil && !c.hasUnread() {
-		time.Sleep(backlogPollInterval) // between the read and processing.Store, input is neither in the socket nor marked
-		oldest = c.oldestUnanswered()
-	}
-	if oldest == nil && c.hasUnread() {
+	oldest, unread := c.awaitOldest()
+	if unread {
 		c.cancelNext.Store(true)
-		oldest = c.oldestUnanswered()
+		oldest, _ = c.oldestUnanswered()
 		if oldest != nil && !c.cancelNext.Swap(false) {
 			return // the connection's goroutine has canceled it
 		}
@@ -94,6 +90,50 @@
 	}
 }
 
+// awaitOldest returns the oldest request without an answer, or nil and whether a query has arrived that is not
+// in flight yet. What the client has sent and received may not show, if goroutines have not run since their
+// system calls returned: after an answer is written it still counts as being written, and after a query is read
+// it is neither in the socket nor in flight. So awaitOldest waits until these goroutines have run, for as long
+// as attempts may wait for the cancel request.
+func (c *client) awaitOldest() (oldest *pendingAnswer, unread bool) {
+	sawWriting, interrupted := false, false
+	passes := int64(0) // those of the connection's goroutine before it was interrupted
+	for startedAt := time.Now(); time.Since(startedAt) <= stallBacklogTimeout; time.Sleep(backlogPollInterval) {
+		oldest, writing := c.oldestUnanswered()
+		switch {
+		case oldest != nil && sawWriting && !oldest.followsAnswers:
+			return nil, false // it was pipelined, so the cancel request may be for the answer before it
+		case oldest != nil:
+			return oldest, false
+		case writing && ring.UnacknowledgedBytes(c.sock) > 0:
+			return nil, false // the client does not have the whole answer yet
+		case writing:
+			sawWriting = true
+		case c.hasUnread():
+			return nil, true
+		case !interrupted:
+			passes, interrupted = c.readPasses.Load(), true
+			c.interruptRead()
+		case c.readPasses.Load() > passes:
+			oldest, _ = c.oldestUnanswered()
+			return oldest, false
+		default:
+			c.interruptRead() // the interruption before may have come before the deadline of the read was set
+		}
+	}
+	oldest, _ = c.oldestUnanswered()
+	return oldest, false
+}
+
+// interruptRead makes the connection's goroutine return from its read, and process what it has read.
+func (c *client) interruptRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.gone && !c.lingering {
+		c.sock.SetReadDeadline(ring.PastDeadline)
+	}
+}
+
 // hasUnread reports whether a query has arrived that is not in flight yet: it is in the socket, or has been
 // read and is being processed.
 func (c *client) hasUnread() bool {
@@ -115,15 +155,18 @@
 	}
 }
 
-// oldestUnanswered returns the pending answer that the client gets next, or nil if it is ready already or
-// there is none.
-func (c *client) oldestUnanswered() *pendingAnswer {
+// oldestUnanswered returns the pending answer that the client gets next. If that is ready already, or there is
+// none, it returns nil, and whether it is ready and being written.
+func (c *client) oldestUnanswered() (oldest *pendingAnswer, writing bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.gone || len(c.pending) == 0 || c.pending[0].parts != nil {
-		return nil
+	if c.gone || len(c.pending) == 0 {
+		return nil, false
+	}
+	if c.pending[0].parts != nil {
+		return nil, true
 	}
-	return c.pending[0]
+	return c.pending[0], false
 }
 
 // answerCanceled gives a canceled request its final answer.
--- a/internal/frontend/client.go
+++ b/internal/frontend/client.go
@@ -32,6 +32,8 @@
 	writing bool             // the goroutine of a request is writing the first of them
 	gone    bool             // nobody reads answers any more
 
+	lingering bool // the connection's goroutine waits to close it, and does not process input any more
+
 	inFlight     atomic.Int32  // the length of pending
 	inputWaiting atomic.Bool   // more input has arrived than can be processed before an answer is written
 	answerDone   chan struct{} // signaled when an answer has been written while input waits
@@ -40,6 +42,7 @@
 	hasQueried   atomic.Bool   // it has sent a query; a connection without one counts as idle since it was accepted
 	examined     atomic.Bool   // the goroutine has found no input at its start, or has processed what had arrived
 	processing   atomic.Bool   // input has been read and is being processed
+	readPasses   atomic.Int64  // how often all input that had been read was processed
 	cancelNext   atomic.Bool   // a cancel request has arrived for the query that is processed next
 
 	connectedAt, readAt int64     // when the connection was accepted, and when the next input to process was read
@@ -131,6 +134,7 @@
 				c.examined.Store(true)
 			}
 			c.processing.Store(false)
+			c.readPasses.Add(1)
 			err = c.read()
 		}
 		if err == errCloseAfterAnswers {
@@ -161,6 +165,9 @@
 // sending, so only the acknowledgement of what they were sent is awaited. A query that crosses the end of an
 // idle connection is not read, so that its client retries elsewhere.
 func (c *client) lingerClose(final bool) {
+	c.mu.Lock()
+	c.lingering = true
+	c.mu.Unlock()
 	writer, ok := c.sock.(interface{ CloseWrite() error })
 	if !ok || !final && !c.server.isDraining() || writer.CloseWrite() != nil {
 		return
--- a/internal/frontend/query.go
+++ b/internal/frontend/query.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"slices"
 	"time"
 
 	"sedgestream/balance"
@@ -185,6 +186,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	wasEnding = c.idleSince.Swap(0) == idleClosing
+	a.followsAnswers = !slices.ContainsFunc(c.pending, func(earlier *pendingAnswer) bool { return earlier.parts == nil })
 	c.pending = append(c.pending, a)
 	c.inFlight.Store(int32(len(c.pending)))
 	return wasEnding
