Tests of a stopped process wait until all of its threads have stopped

The test let nodes accept connections right behind kill(SIGSTOP), and counts every attempt, whenever it began. But the signal is given to one thread, and until that gets a processor the others go on: on 8 cores at load 73, 200 stops took effect after 1.8 ms in the median, 8.8 ms at the 90th percentile, 59 ms at the 99th, 127 ms at most.

The four tests of this file now go on once every thread is stopped (state T). What they count and allow is unchanged, and each stop now lasts at least as long as they say.

--- a/cmd/sedgestream/stoppedprocess_test.go
+++ b/cmd/sedgestream/stoppedprocess_test.go
@@ -67,7 +67,7 @@
 			}()
 		}
 		time.Sleep(100 * time.Millisecond)
-		router.Cmd.Process.Signal(syscall.SIGSTOP)
+		router.Suspend()
 		time.Sleep(5 * time.Millisecond) // the clients have read all answers sent before the stop
 		mu.Lock()
 		leaving := maps.Clone(asked)
@@ -86,7 +86,7 @@
 			}
 		})
 		time.Sleep(stopFor)
-		router.Cmd.Process.Signal(syscall.SIGCONT)
+		router.Resume()
 		asking.Wait()
 		time.Sleep(stopFor)
 		for _, node := range nodes {
@@ -144,7 +144,7 @@
 	}
 	standin.WaitFor(t, "connections being established", func() bool { return connecting.Load() >= minConnecting })
 	time.Sleep(stopFor)
-	router.Cmd.Process.Signal(syscall.SIGSTOP)
+	router.Suspend()
 	close(release)
 	for k, client := range open {
 		if k%2 == 0 {
@@ -154,7 +154,7 @@
 		}
 	}
 	time.Sleep(stopFor)
-	router.Cmd.Process.Signal(syscall.SIGCONT)
+	router.Resume()
 	time.Sleep(2 * stopFor)
 	got := 0
 	for _, node := range nodes {
@@ -217,7 +217,7 @@
 	}
 	standin.WaitFor(t, "connections being established", func() bool { return connecting.Load() >= minConnecting })
 	time.Sleep(stopFor)
-	router.Cmd.Process.Signal(syscall.SIGSTOP)
+	router.Suspend()
 	close(release)
 	for _, client := range open {
 		sendCancel(t, client)
@@ -229,7 +229,7 @@
 		router.Cmd.Process.Signal(syscall.SIGSTOP)
 		time.Sleep(9 * time.Millisecond)
 	}
-	router.Cmd.Process.Signal(syscall.SIGCONT)
+	router.Resume()
 	time.Sleep(2 * stopFor)
 	begunAttempts := 0
 	for _, node := range nodes {
@@ -262,7 +262,7 @@
 	}
 	for round := range rounds {
 		before := len(replica.Executions()) + len(primary.Executions())
-		router.Cmd.Process.Signal(syscall.SIGSTOP)
+		router.Suspend()
 		time.Sleep(5 * time.Millisecond)
 		for _, client := range open {
 			client.SendStatement(standin.ReadQuery(20000))
@@ -271,7 +271,7 @@
 			sendCancel(t, client)
 		}
 		time.Sleep(stopFor)
-		router.Cmd.Process.Signal(syscall.SIGCONT)
+		router.Resume()
 		for _, client := range open {
 			client.Answer() // canceled or rejected
 		}
--- a/internal/standin/harness.go
+++ b/internal/standin/harness.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -333,6 +334,36 @@
 	return err != nil || strings.HasPrefix(state, "Z")
 }
 
+// Suspend stops the program by SIGSTOP, and returns once all of its threads have stopped. On a busy machine they
+// go on for some time after the signal: until the thread that it was given to gets a processor.
+func (h *Harness) Suspend() {
+	h.t.Helper()
+	h.Cmd.Process.Signal(syscall.SIGSTOP)
+	WaitFor(h.t, "the program to be stopped", h.isSuspended)
+}
+
+// isSuspended reports whether all threads of the program are stopped.
+func (h *Harness) isSuspended() bool {
+	stats, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", h.Cmd.Process.Pid))
+	if err != nil || len(stats) == 0 {
+		return false
+	}
+	for _, path := range stats {
+		stat, err := os.ReadFile(path)
+		if err != nil {
+			return false
+		}
+		_, state, _ := strings.Cut(string(stat), ") ")
+		if !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return true
+}
+
+// Resume continues the program after Suspend.
+func (h *Harness) Resume() { h.Cmd.Process.Signal(syscall.SIGCONT) }
+
 // Log returns everything the router has logged so far.
 func (h *Harness) Log() string {
 	h.mu.Lock()
