balance: any request that needs the primary finds it, and others' ejections hold for reads

Causes: probes for roles were sent for writes alone; the probes of a parked request went through the members in list order, so a budget of one was always spent on the first ones; Eject spared every node that may be the primary for all requests; the wait for roles knew no least budget.

Others' ejections hold as before; only a write may try a member without a role in spite of them.

Left: a member that has just joined may be tried first as the primary; where several members show no role for good a replica is tried a second after it was shown to be one.

--- a/balance/ejection.go
+++ b/balance/ejection.go
@@ -32,7 +32,12 @@
 
 // trusted reports whether a node is not ejected. After an ejection it gets one attempt at a time until one succeeds.
 func (n *nodeRecord) trusted(now int64) bool {
-	return now >= max(n.ejectedUntil, n.ejectedByOthersUntil) && (n.failures < ejectAfterFailures || n.inFlight == 0)
+	return now >= n.ejectedByOthersUntil && n.trustedByOwnAttempts(now)
+}
+
+// trustedByOwnAttempts is trusted without regard to what other routers have found.
+func (n *nodeRecord) trustedByOwnAttempts(now int64) bool {
+	return now >= n.ejectedUntil && (n.failures < ejectAfterFailures || n.inFlight == 0)
 }
 
 // recordFailure counts a node's failures in a row and ejects it when there are too many. The length of the ejection is
@@ -51,10 +56,10 @@
 	}
 }
 
-// Eject ejects a replica until the given time, because many routers have found it to fail. A node that is the primary, or
-// may be by what this router knows, is not ejected: the others still send it their writes, as these have no other node.
+// Eject ejects a replica until the given time, because many routers have found it to fail. Primaries are not ejected: the
+// others still send it their writes, as these have no other node.
 func (r *Router) Eject(now int64, nodeIndex int, until int64) {
-	if node := &r.nodes[nodeIndex]; !r.mayBePrimary(node) {
+	if node := &r.nodes[nodeIndex]; node.role != Primary {
 		node.ejectedByOthersUntil = until
 	}
 }
--- a/balance/unknownprimary_test.go
+++ b/balance/unknownprimary_test.go
@@ -182,6 +182,64 @@
 	h.wantNodes(t, slot, 0)
 }
 
+// Other routers have found a member to fail that has shown no role to this router: its reads go elsewhere.
+func TestQuorumEjectionHoldsForReads(t *testing.T) {
+	h := newStartedRouter(false)
+	h.router.Eject(h.now, 0, h.now+1000*ms)
+	h.router.Eject(h.now, 1, h.now+1000*ms)
+	for range 3 {
+		slot := h.accept(int(Any), 0, 2000*ms, 0)
+		h.wantNodes(t, slot, 2)
+	}
+}
+
+// Reads that need the primary probe each member once, too: with few requests the probe budget suffices for some of the
+// members only.
+func TestFreshReadsProbeEachMember(t *testing.T) {
+	h := newStartedRouter(true)
+	h.accept(int(Fresh), 0, 1000*ms, 0)
+	if probed := slices.Sorted(slices.Values(h.probes)); !slices.Equal(probed, []int{0, 1, 2}) {
+		t.Errorf("probes of %v", probed)
+	}
+}
+
+// The primary is lost and another member has taken over. With few requests the probe budget pays for one probe a request,
+// and the new primary is found although the others are probed first.
+func TestFewRequestsFindNewPrimary(t *testing.T) {
+	settings := testSettings()
+	settings.PeerMessages, settings.NodesCheckFreshness = true, true
+	h := newHarness(settings, 7)
+	h.updateList(nodeRecord{}, nodeRecord{}, nodeRecord{})
+	h.showRole(0, Primary)
+	h.showRole(1, Replica)
+	h.showRole(2, Replica)
+	for range 20 {
+		h.accept(int(Fresh), 0, 1000*ms, 0)
+		for range 6 {
+			h.advance(50 * ms)
+			h.answerProbes(1, Replica)
+			h.answerProbes(2, Primary)
+		}
+	}
+	if h.router.nodes[2].role != Primary {
+		t.Errorf("the new primary was not found; probes of %v", h.probes)
+	}
+}
+
+// answerProbes has a node answer the probe in flight there, if any.
+func (h *harness) answerProbes(node int, role Role) {
+	if h.router.nodes[node].probeInFlight {
+		h.reportNode(node, role, h.now)
+	}
+}
+
+// A write that has little time left does not wait for roles.
+func TestShortWriteAwaitsNoRoles(t *testing.T) {
+	h := newStartedRouter(true)
+	slot := h.accept(int(Write), 0, 120*ms, 0)
+	h.wantNodes(t, slot, 0)
+}
+
 // A replica that others have found to fail takes over. Writes go there as soon as it has shown its new role.
 func TestQuorumEjectionEndsWithNewRole(t *testing.T) {
 	h := newStartedRouter(false)
