balance: a request's work on a cold node is told apart from its wait at loaded nodes

Cause, traced by router, class and attempt: the windows hold one or two heavy reads of 19 to 31 requests of mean work. A request's work was its class's mean time, and that holds the wait, which is the same for all classes. At loaded nodes a heavy read counted as 1.5 to 1.7 mean requests where it is 6.9, and the limit for a single request, 4.0 to 4.2, let it pass.

Change: a class's time at idle warm nodes is learned beside its mean time, and the larger of both ratios to the mean request counts. The limit itself is as before, so nothing that was refused is sent now.

TestHeavyReadsAvoidColdNodesUnderLoad failed before: the cold node could be sent heavy reads.

--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -34,7 +34,7 @@
 		node.heardAt = now
 	}
 	attempt := attemptRecord{node: nodeIndex, inFlight: true, answersBefore: node.answerCount, ownInFlight: node.inFlight + node.orphans,
-		loadAtSend: r.estimatedLoad(node, now), sentAt: now, onEnd: (*Router).afterAttempt}
+		loadAtSend: r.estimatedLoad(node, now), atIdleNode: r.isIdle(node, now), sentAt: now, onEnd: (*Router).afterAttempt}
 	req.attempts = append(req.attempts, attempt)
 	req.inFlight++
 	node.inFlight++
@@ -86,6 +86,9 @@
 		node.orphans -= node.orphans / (1 + node.inFlight)
 		node.answerCount++
 		class.meanTime += slowAverageWeight * (float64(took) - class.meanTime)
+		if attempt.atIdleNode {
+			class.idleTime += slowAverageWeight * (float64(took) - class.idleTime)
+		}
 		if !attempt.late {
 			r.learnLimit(node, attempt.loadAtSend+1, float64(took)/float64(class.TargetLatency))
 		}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -103,7 +103,7 @@
 		// Attempts are assumed to take a quarter of their target latency until some have ended. According to its
 		// value, a class may use half to five quarters of a primary's concurrency limit.
 		record := classRecord{Class: class, tracking: settings.Sessions, meanTime: float64(class.TargetLatency) / 4,
-			primaryShare: lowPriorityShare + 0.75*class.Value/bestValue}
+			idleTime: float64(class.TargetLatency) / 4, primaryShare: lowPriorityShare + 0.75*class.Value/bestValue}
 		record.retryAfter = settings.RetryAfter(&class)
 		classNumbers = append(classNumbers, r.addClass(record, len(classNumbers) == 0))
 	}
@@ -154,6 +154,7 @@
 	}
 	req.randomDraw = r.draw()
 	r.meanRequestWork += slowAverageWeight * (r.classes[class].meanTime - r.meanRequestWork)
+	r.meanIdleTime += slowAverageWeight * (r.classes[class].idleTime - r.meanIdleTime)
 	req.session, req.isRetry, req.minPosition = session.ID, session.IsRetry, r.sessionMinPosition(&r.classes[class], session, now)
 	r.dispatch(req, now)
 }
--- a/balance/slowstart.go
+++ b/balance/slowstart.go
@@ -5,6 +5,9 @@
 // This file limits the work sent to cold nodes, which have not reached their full capacity since their start. A node is
 // given a share of the work that warm nodes get, according to the part of its capacity that it has reached.
 
+// maxIdleLoad is the largest known load, in attempts, of a node that counts as idle.
+const maxIdleLoad = 0.5
+
 // withinColdBudget reports whether a node may be sent the request's work now; warm nodes always may. A cold node may be
 // sent, within the overload window, a share of what warm nodes get on average, so that all routers together stay below
 // what overloads it. After a sudden increase of traffic the budget lags behind, and cold nodes get less than they could
@@ -15,7 +18,7 @@
 		return true
 	}
 	work := r.classes[req.class].meanTime
-	relativeWork := work / r.meanRequestWork
+	relativeWork := r.relativeWork(req)
 	if relativeWork > r.maxRelativeWork(warmShare) {
 		return false
 	}
@@ -36,6 +39,19 @@
 	return node.coldWork.sum(now, r.overloadWindow)+work <= grantShare*r.coldShare(node, now)
 }
 
+// relativeWork returns a request's work in requests of mean work. Attempts of all classes wait alike at a loaded node, so
+// that their mean times differ less than their work does; times at idle nodes show the work alone. The larger ratio counts.
+func (r *Router) relativeWork(req *request) float64 {
+	class := &r.classes[req.class]
+	return max(class.meanTime/r.meanRequestWork, class.idleTime/r.meanIdleTime)
+}
+
+// isIdle reports whether a node is warm and has no attempts that this router knows of.
+func (r *Router) isIdle(node *nodeRecord, now int64) bool {
+	load := node.inFlight + node.orphans + node.knownLoad(now, r.loadLifetime)
+	return load < maxIdleLoad && r.warmShare(node, now) >= 1
+}
+
 // initMeanWork assumes light requests until some have arrived, so that heavy ones are kept away from cold nodes at
 // first.
 func (r *Router) initMeanWork() {
@@ -46,6 +62,7 @@
 	for i := range r.classes {
 		r.meanRequestWork = min(r.meanRequestWork, r.classes[i].meanTime)
 	}
+	r.meanIdleTime = r.meanRequestWork
 }
 
 // maxRelativeWork returns the largest work of a single request, in requests of mean work, that a node with the given
--- a/balance/state.go
+++ b/balance/state.go
@@ -14,6 +14,7 @@
 	routerCount                    float64 // of the fleet, at least 1
 	onlyRouter                     bool    // the fleet has no other router
 	meanRequestWork                float64 // mean work of recent requests, in ns; a request's work is its class's mean time
+	meanIdleTime                   float64 // mean idle time of recent requests, in ns
 	nodes                          []nodeRecord
 	groups                         []groupRecord
 	requests                       []request // indexed by Slot
@@ -83,6 +84,7 @@
 	answersBefore float64 // answerCount of the node when the attempt was sent
 	ownInFlight   float64 // attempts of this router at the node when it was sent, with orphans
 	loadAtSend    float64 // estimated load of the node when it was sent
+	atIdleNode    bool    // the node was warm and had no other known attempts when it was sent
 	onEnd         attemptEndHandler
 }
 
@@ -179,6 +181,7 @@
 	Class
 	tracking     SessionTracking
 	meanTime     float64 // of an attempt, in ns
+	idleTime     float64 // of an attempt at a warm node with no other known attempts, in ns: its work without waits
 	primaryShare float64 // share of a primary's concurrency limit that it may use
 	retryAfter   int64   // see Settings.RetryAfter
 	retired      bool    // not in the present settings
@@ -190,6 +193,7 @@
 func (c *classRecord) decayMeanTime(req *request, now int64) {
 	if now == req.arrivedAt && len(req.attempts) == 0 {
 		c.meanTime *= 1 - slowAverageWeight
+		c.idleTime = min(c.idleTime, c.meanTime)
 	}
 }
 
