balance: what nodes report bounds the budget that a busy router assumes of a cold node

Cause, traced: heavy reads of 5 and 27 mean requests came from the router with 0.81 of all traffic. It reckons N from its own traffic times the number of routers, took it for 51 where it was 30, and the limit for a single request for 7.3 where 5.1 was right; a heavy read counts as about 6.9.

Change: the mean of the attempts that warm nodes report, which this router gets by its probes or from peers, bounds that product while reports arrive. The limit can only get smaller. Where no node reports, all is as before.

TestHeavyReadsAvoidColdNodesAtBusyRouter failed before: the cold node could be sent heavy reads.

--- a/balance/report.go
+++ b/balance/report.go
@@ -76,6 +76,7 @@
 	}
 	r.learnClock(node, report.Position, 0, now)
 	r.recordEvidence(node, now, report.Role, report.Position, report.Position-r.clock.stalenessOffset)
+	r.recordNodeLoad(node, report.InFlight, now)
 	node.utilization, node.reportedLoad = report.Utilization, report.InFlight
 	if report.InFlight < 0 { // the mean length of a queue with this utilization
 		node.reportedLoad = min(initialLimit, report.Utilization/max(1-report.Utilization, 1/initialLimit))
--- a/balance/slowstart.go
+++ b/balance/slowstart.go
@@ -19,7 +19,7 @@
 	}
 	work := r.classes[req.class].meanTime
 	relativeWork := r.relativeWork(req)
-	if relativeWork > r.maxRelativeWork(warmShare) {
+	if relativeWork > r.maxRelativeWork(warmShare, now) {
 		return false
 	}
 	if now < node.grantUntil {
@@ -69,14 +69,38 @@
 // warm share may be sent. With N requests as the node's budget from all routers, it is a fifth of N + 2 sqrt(N) + 2
 // less the part of N that the routers send: the work of single requests varies by as much as its mean, and routers
 // with more traffic than others take the budget for larger than it is. It is at least 2, as writes have no other node
-// to go to. N is estimated from what this router sends a warm node, assuming that all routers send alike. The limit
-// keeps a single heavy request from overloading a cold node; where all nodes are cold it refuses such requests.
-func (r *Router) maxRelativeWork(warmShare float64) float64 {
-	budget := r.coldBudget / coldWorkShare * warmShare * r.routerCount * r.warmNodeWork / r.meanRequestWork
+// to go to. The limit keeps a single heavy request from overloading a cold node; where all nodes are cold it refuses
+// such requests.
+func (r *Router) maxRelativeWork(warmShare float64, now int64) float64 {
+	budget := r.coldBudget / coldWorkShare * warmShare * r.totalNodeWork(now) / r.meanRequestWork
 	unused := (1-coldWorkShare)*budget + 2*math.Sqrt(budget) + 2
 	return max(2, unused/5)
 }
 
+// totalNodeWork returns an estimate of the work that all routers send a warm node within the overload window, in ns: what
+// this router sends it times the number of routers, as if all sent alike. It is less where nodes report fewer attempts
+// than that, as this router then has more traffic than others.
+func (r *Router) totalNodeWork(now int64) float64 {
+	work := r.routerCount * r.warmNodeWork
+	if r.meanNodeLoadAt > 0 && now-r.meanNodeLoadAt < r.loadLifetime {
+		work = min(work, r.meanNodeLoad*float64(r.overloadWindow))
+	}
+	return work
+}
+
+// recordNodeLoad adds the attempts that a node reports to the mean over warm nodes.
+func (r *Router) recordNodeLoad(node *nodeRecord, inFlight float64, now int64) {
+	if inFlight < 0 || r.warmShare(node, now) < 1 {
+		return
+	}
+	load := inFlight / node.weight
+	if r.meanNodeLoadAt == 0 {
+		r.meanNodeLoad = load
+	}
+	r.meanNodeLoad += slowAverageWeight * (load - r.meanNodeLoad)
+	r.meanNodeLoadAt = now
+}
+
 // coldShare returns how much work this router may send a cold node within the overload window, in ns, if all routers do
 // the same.
 func (r *Router) coldShare(node *nodeRecord, now int64) float64 {
--- a/balance/slowstart_test.go
+++ b/balance/slowstart_test.go
@@ -55,3 +55,20 @@
 	node := startColdNode(h, 2000*ms)
 	wantColdReads(t, h, node, true, false)
 }
+
+// A router with more traffic than others must not take a cold node's budget for its own traffic times the number of
+// routers, where nodes report fewer attempts than that.
+func TestHeavyReadsAvoidColdNodesAtBusyRouter(t *testing.T) {
+	settings := heavyReadSettings()
+	settings.RouterCount = 10
+	for _, test := range []struct {
+		reportedLoad float64
+		wantHeavy    bool
+	}{{1.2, false}, {10, true}} {
+		h := newThreeNodeHarness(settings, 0, 0)
+		serveReads(h, 0, 10*ms, 200*ms)
+		serveReads(h, test.reportedLoad, 10*ms, 200*ms)
+		node := startColdNode(h, 1000*ms)
+		wantColdReads(t, h, node, true, test.wantHeavy)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -58,6 +58,8 @@
 	nextAckAt                      int64            // time before which no further acknowledgement is sent
 	sharedLimit                    concurrencyLimit // learned from all nodes, for low-traffic routers
 	loadLifetime                   int64            // age at which a load report no longer counts
+	meanNodeLoad                   float64          // mean of the attempts that warm nodes report, per unit of weight
+	meanNodeLoadAt                 int64            // when such a report last arrived; 0: never
 	warmNodeWork                   float64          // recent work sent to a warm node per unit of weight, in ns
 	maxValueRate                   float64          // highest value per mean time of any class that replicas serve
 	probeBudget                    float64          // probes that requests may still cause
