--- a/balance/slowstart.go
+++ b/balance/slowstart.go
@@ -5,6 +5,9 @@
 // This file limits the work sent to cold nodes, which have not reached their full capacity since their start. A node is
 // given a share of the work that warm nodes get, according to the part of its capacity that it has reached.
 
+// maxIdleLoad is the largest known load, in attempts, of a node that counts as idle.
+const maxIdleLoad = 0.5
+
 // withinColdBudget reports whether a node may be sent the request's work now; warm nodes always may. A cold node may be
 // sent, within the overload window, a share of what warm nodes get on average, so that all routers together stay below
 // what overloads it. After a sudden increase of traffic the budget lags behind, and cold nodes get less than they could
@@ -15,8 +18,8 @@
 		return true
 	}
 	work := r.classes[req.class].meanTime
-	relativeWork := work / r.meanRequestWork
-	if relativeWork > r.maxRelativeWork(warmShare) {
+	relativeWork := r.relativeWork(req)
+	if relativeWork > r.maxRelativeWork(warmShare, now) {
 		return false
 	}
 	if now < node.grantUntil {
@@ -36,6 +39,19 @@
 	return node.coldWork.sum(now, r.overloadWindow)+work <= grantShare*r.coldShare(node, now)
 }
 
+// relativeWork returns a request's work in requests of mean work. Attempts of all classes wait alike at a loaded node, so
+// that their mean times differ less than their work does; times at idle nodes show the work alone. The larger ratio counts.
+func (r *Router) relativeWork(req *request) float64 {
+	class := &r.classes[req.class]
+	return max(class.meanTime/r.meanRequestWork, class.idleTime/r.meanIdleTime)
+}
+
+// isIdle reports whether a node is warm and has no attempts that this router knows of.
+func (r *Router) isIdle(node *nodeRecord, now int64) bool {
+	load := node.inFlight + node.orphans + node.knownLoad(now, r.loadLifetime)
+	return load < maxIdleLoad && r.warmShare(node, now) >= 1
+}
+
 // initMeanWork assumes light requests until some have arrived, so that heavy ones are kept away from cold nodes at
 // first.
 func (r *Router) initMeanWork() {
@@ -46,20 +62,45 @@
 	for i := range r.classes {
 		r.meanRequestWork = min(r.meanRequestWork, r.classes[i].meanTime)
 	}
+	r.meanIdleTime = r.meanRequestWork
 }
 
 // maxRelativeWork returns the largest work of a single request, in requests of mean work, that a node with the given
 // warm share may be sent. With N requests as the node's budget from all routers, it is a fifth of N + 2 sqrt(N) + 2
 // less the part of N that the routers send: the work of single requests varies by as much as its mean, and routers
 // with more traffic than others take the budget for larger than it is. It is at least 2, as writes have no other node
-// to go to. N is estimated from what this router sends a warm node, assuming that all routers send alike. The limit
-// keeps a single heavy request from overloading a cold node; where all nodes are cold it refuses such requests.
-func (r *Router) maxRelativeWork(warmShare float64) float64 {
-	budget := r.coldBudget / coldWorkShare * warmShare * r.routerCount * r.warmNodeWork / r.meanRequestWork
+// to go to. The limit keeps a single heavy request from overloading a cold node; where all nodes are cold it refuses
+// such requests.
+func (r *Router) maxRelativeWork(warmShare float64, now int64) float64 {
+	budget := r.coldBudget / coldWorkShare * warmShare * r.totalNodeWork(now) / r.meanRequestWork
 	unused := (1-coldWorkShare)*budget + 2*math.Sqrt(budget) + 2
 	return max(2, unused/5)
 }
 
+// totalNodeWork returns an estimate of the work that all routers send a warm node within the overload window, in ns: what
+// this router sends it times the number of routers, as if all sent alike. It is less where nodes report fewer attempts
+// than that, as this router then has more traffic than others.
+func (r *Router) totalNodeWork(now int64) float64 {
+	work := r.routerCount * r.warmNodeWork
+	if r.meanNodeLoadAt > 0 && now-r.meanNodeLoadAt < r.loadLifetime {
+		work = min(work, r.meanNodeLoad*float64(r.overloadWindow))
+	}
+	return work
+}
+
+// recordNodeLoad adds the attempts that a node reports to the mean over warm nodes.
+func (r *Router) recordNodeLoad(node *nodeRecord, inFlight float64, now int64) {
+	if inFlight < 0 || r.warmShare(node, now) < 1 {
+		return
+	}
+	load := inFlight / node.weight
+	if r.meanNodeLoadAt == 0 {
+		r.meanNodeLoad = load
+	}
+	r.meanNodeLoad += slowAverageWeight * (load - r.meanNodeLoad)
+	r.meanNodeLoadAt = now
+}
+
 // coldShare returns how much work this router may send a cold node within the overload window, in ns, if all routers do
 // the same.
 func (r *Router) coldShare(node *nodeRecord, now int64) float64 {
