balance: late refusals and one quick answer do not hide a slow discovery

Causes: each call that is not answered for 2 s moved the time from which the list may be too old, though calls beside it had been answered since; and the time of the last answer alone stood for how slow discovery is, a refusal's too.

Change: what a call that is not answered says counts only if no answer has come since it began. The longest answer since the last list counts, and with a list that of the call that brought it.

Measured: TestLateRefusalsStopAttempts and TestQuickRefusalDoesNotHideSlowAnswers failed before and pass, in simulated time; TestQuickListEndsSlowAnswers guards the way back.

--- a/balance/list.go
+++ b/balance/list.go
@@ -8,8 +8,10 @@
 	reached        bool  // discovery has answered a call without bringing the list, since the list was last received
 	knownAt        int64 // time as of which the list is known, unless watchOpen
 	unreachableAt  int64 // start of the newest call that discovery has not answered, by what is known
+	reachedAt      int64 // when discovery last answered a call
 	firstCallAt    int64 // start of the first call since the watch broke; 0: none yet
-	answerTime     int64 // that discovery needed for the last call it answered; 0: none, or a call has failed since
+	lastAnswerTime int64 // that discovery needed for the last call it answered
+	answerTime     int64 // the longest since the list was last received, and that of the call that brought it; 0: a call has failed since
 	announcedAfter int64 // time after which a change is taken to be known to all, received or not; 0: no limit
 	watchTimeout   int64 // time after which a watch that has gone silent is found to be broken
 }
@@ -20,6 +22,7 @@
 // recordUpdate records that the list was received.
 func (a *listAge) recordUpdate(now int64) {
 	a.watchOpen, a.reached, a.knownAt, a.firstCallAt = true, false, now, 0
+	a.answerTime = a.lastAnswerTime
 }
 
 // recordCall records that a call begins.
@@ -43,7 +46,9 @@
 		a.reached = true
 	}
 	a.unreachableAt = min(a.unreachableAt, startedAt)
-	a.answerTime = now - startedAt
+	a.reachedAt = now
+	a.lastAnswerTime = now - startedAt
+	a.answerTime = max(a.answerTime, a.lastAnswerTime)
 }
 
 // awaitsSlowAnswer reports whether discovery, going by the time of its last answer, may still be about to answer the first
@@ -76,8 +81,12 @@
 func (r *Router) ListAnswered(now, startedAt int64) { r.list.recordAnswer(now, startedAt) }
 
 // ListUnanswered records that a call made at the given time has not been answered, and continues. An answer that comes
-// later takes this back.
-func (r *Router) ListUnanswered(at int64) { r.list.unreachableAt = max(r.list.unreachableAt, at) }
+// later takes this back, and an answer to another call that has come since shows that discovery was reachable then.
+func (r *Router) ListUnanswered(at int64) {
+	if at > r.list.reachedAt {
+		r.list.unreachableAt = max(r.list.unreachableAt, at)
+	}
+}
 
 // ListUnreachable records that discovery was unreachable at the given time: a call made then has failed without an answer.
 func (r *Router) ListUnreachable(at int64) {
--- a/balance/slowlist_test.go
+++ b/balance/slowlist_test.go
@@ -93,3 +93,75 @@
 		}
 	}
 }
+
+// Discovery refuses each call, and only after some seconds: it is reachable all the while, though each call looks for a
+// while as if it were not. From the time on when its changes count as known, no attempt may begin.
+func TestLateRefusalsStopAttempts(t *testing.T) {
+	const answerTime, spacing, unansweredAfter = 3000 * ms, 1250 * ms, 2062 * ms
+	settings := testSettings()
+	settings.ListAnnouncedAfter, settings.WatchTimeout = 6000*ms, 3000*ms
+	h := newThreeNodeHarness(settings, 0, 0)
+	h.now += 1000 * ms
+	h.router.ListFailed(h.now)
+	firstCallAt := h.now + 250*ms
+	for end := firstCallAt + 6500*ms; h.now < end; h.now += ms {
+		for call := firstCallAt; call < h.now; call += spacing {
+			switch h.now - call {
+			case unansweredAfter:
+				h.router.ListUnanswered(call)
+			case answerTime:
+				h.router.ListAnswered(h.now, call)
+				h.router.ListRefused()
+			}
+		}
+	}
+	slot := h.accept(int(Any), 0, 1000*ms, 0)
+	h.advance(300 * ms)
+	if req := h.requests[slot]; req != nil && !req.finished {
+		t.Error("an attempt began by a list that is older than its changes may be")
+	}
+}
+
+// Discovery needed some seconds for the list, and refuses the first call behind the loss of the watch at once: it still
+// counts as slow.
+func TestQuickRefusalDoesNotHideSlowAnswers(t *testing.T) {
+	settings := testSettings()
+	settings.ListAnnouncedAfter, settings.WatchTimeout = 6000*ms, 3000*ms
+	h := newThreeNodeHarness(settings, 0, 0)
+	h.router.ListAnswered(h.now, h.now-4000*ms)
+	h.updateList(nodeRecord{listedPrimary: true}, nodeRecord{}, nodeRecord{})
+	h.now += 5000 * ms
+	lostAt := h.now
+	h.router.ListFailed(lostAt)
+	h.router.list.recordCall(lostAt + 250*ms)
+	h.router.ListAnswered(lostAt+251*ms, lostAt+250*ms)
+	h.router.ListRefused()
+	h.router.ListUnanswered(lostAt + 500*ms)
+	h.now = lostAt + 3200*ms
+	slot := h.accept(int(Any), 0, 1000*ms, 0)
+	h.advance(300 * ms)
+	if req := h.requests[slot]; req != nil && !req.finished {
+		t.Error("an attempt began by a list that is older than its changes may be")
+	}
+}
+
+// Once the list has come by a quick answer, discovery no longer counts as slow.
+func TestQuickListEndsSlowAnswers(t *testing.T) {
+	settings := testSettings()
+	settings.ListAnnouncedAfter, settings.WatchTimeout = 6000*ms, 3000*ms
+	h := newThreeNodeHarness(settings, 0, 0)
+	h.router.ListAnswered(h.now, h.now-4000*ms)
+	h.router.ListAnswered(h.now, h.now-5*ms)
+	h.updateList(nodeRecord{listedPrimary: true}, nodeRecord{}, nodeRecord{})
+	h.now += 5000 * ms
+	lostAt := h.now
+	h.router.ListFailed(lostAt)
+	h.router.list.recordCall(lostAt + 250*ms)
+	h.router.ListUnanswered(lostAt + 250*ms)
+	h.now = lostAt + 3200*ms
+	slot := h.accept(int(Any), 0, 1000*ms, 0)
+	h.advance(300 * ms)
+	if req := h.requests[slot]; req == nil || req.finished {
+		t.Error("a request is rejected though discovery is down")
+	}
+}
