--- a/cmd/sedgestream/stoppedatend_test.go
+++ b/cmd/sedgestream/stoppedatend_test.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"net"
 	"os"
-	"path/filepath"
-	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -144,24 +142,12 @@
 	t.Helper()
 	router.Cmd.Process.Signal(syscall.SIGSTOP)
 	standin.WaitFor(t, "the process to be stopped or to exit", func() bool {
-		stopped = isStopped(router.Cmd.Process.Pid)
+		stopped = router.IsSuspended()
 		return stopped || router.Exited()
 	})
 	return stopped
 }
 
-// isStopped reports whether all threads of a process are stopped.
-func isStopped(pid int) bool {
-	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
-	for _, thread := range threads {
-		stat, _ := os.ReadFile(thread)
-		if !strings.Contains(string(stat), ") T ") {
-			return false
-		}
-	}
-	return err == nil && len(threads) > 0
-}
-
 // askedClient is a client with queries that it has sent.
 type askedClient struct {
 	*standin.Client
--- a/internal/standin/harness.go
+++ b/internal/standin/harness.go
@@ -339,11 +339,11 @@
 func (h *Harness) Suspend() {
 	h.t.Helper()
 	h.Cmd.Process.Signal(syscall.SIGSTOP)
-	WaitFor(h.t, "the program to be stopped", h.isSuspended)
+	WaitFor(h.t, "the program to be stopped", h.IsSuspended)
 }
 
-// isSuspended reports whether all threads of the program are stopped.
-func (h *Harness) isSuspended() bool {
+// IsSuspended reports whether all threads of the program are stopped.
+func (h *Harness) IsSuspended() bool {
 	stats, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", h.Cmd.Process.Pid))
 	if err != nil || len(stats) == 0 {
 		return false
