balance: a process that is always a little stalled still ejects nodes that hang

Times with more than a quarter of stall are no sample of load or of a timeout, others count in full. A stall is recorded before an attempt is sent. The time of a class at idle nodes is never more than its mean time, so that a class that meets none is not kept from cold nodes. A dial without a free descriptor closes an idle connection and is repeated once, however short the wait is (TestDialRetriesOnce).

Measured: TestLateTimersHideNoSilence, TestLateTimerDoesNotVoidTimeout and TestStallBeforeSendDoesNotCount failed before; they and all tests of balance pass.

--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -30,6 +30,7 @@
 		r.giveUp(req, now, 0, NotGranted)
 		return
 	}
+	r.recordTimerDelay(now) // a stall that has just ended is over for this attempt
 	if node.inFlight == 0 {
 		node.heardAt = now
 	}
@@ -70,7 +71,6 @@
 	attempt := &req.attempts[attemptIndex]
 	node, class := &r.nodes[attempt.node], &r.classes[req.class]
 	r.recordTimerDelay(now)
-	took = r.runningTime(attempt, took)
 	attempt.inFlight, attempt.outcome = false, outcome
 	req.countNotSent(outcome)
 	if req.inFlight--; !attempt.lost {
@@ -88,12 +88,11 @@
 		node.failures, node.ejectedUntil, node.succeededAt = 0, 0, now
 		node.orphans -= node.orphans / (1 + node.inFlight)
 		node.answerCount++
-		class.meanTime += slowAverageWeight * (float64(took) - class.meanTime)
-		if attempt.atIdleNode {
-			class.idleTime += slowAverageWeight * (float64(took) - class.idleTime)
-		}
-		if !attempt.late {
-			r.learnLimit(node, attempt.loadAtSend+1, float64(took)/float64(class.TargetLatency))
+		if r.ranDuring(attempt, now) {
+			class.learnTime(float64(took), attempt.atIdleNode)
+			if !attempt.late {
+				r.learnLimit(node, attempt.loadAtSend+1, float64(took)/float64(class.TargetLatency))
+			}
 		}
 	case Full:
 		// A low-traffic router uses a limit that all nodes share, about which one full node says nothing.
@@ -116,14 +115,14 @@
 		if !attempt.lost {
 			node.orphans++
 		}
-		if !attempt.late && outcome == TimedOut { // the timeout was short: the answer would have taken longer
+		if !attempt.late && outcome == TimedOut && r.ranDuring(attempt, now) { // the timeout was short: the answer would have taken longer
 			r.learnLimit(node, attempt.loadAtSend+1, min(lateLatencyRatio, 2*float64(took)/float64(class.TargetLatency)))
 		}
 		if node.heardAt <= attempt.sentAt {
 			node.markLost(now)
 		}
 		// checkOverdue does not see the silence of a node if attempts end before the target latency.
-		silent := !attempt.late && node.heardAt <= attempt.sentAt && now >= node.ejectedUntil && r.stallDuring(attempt) == 0
+		silent := !attempt.late && node.heardAt <= attempt.sentAt && now >= node.ejectedUntil && r.ranDuring(attempt, now)
 		if silent && req.terms.AttemptTimeout+req.terms.AttemptTimeShare > 0 {
 			r.recordFailure(node, now, 1)
 		} else if silent && now >= req.targetAt && class.retryAfter > 0 {
--- a/balance/state.go
+++ b/balance/state.go
@@ -193,6 +193,16 @@
 	retired      bool    // not in the present settings
 }
 
+// learnTime adds the time of an attempt to the means. The time at idle nodes is never more than that at all nodes: a class
+// that is not sent to idle nodes has none of its own.
+func (c *classRecord) learnTime(took float64, atIdleNode bool) {
+	c.meanTime += slowAverageWeight * (took - c.meanTime)
+	if atIdleNode {
+		c.idleTime += slowAverageWeight * (took - c.idleTime)
+	}
+	c.idleTime = min(c.idleTime, c.meanTime)
+}
+
 // decayMeanTime shortens the mean time of an attempt with each new request that is given up because its attempt would take
 // too long. Otherwise a class whose attempts took, or were assumed to take, longer than its clients wait would never be
 // tried again.
--- a/internal/descriptors/descriptors.go
+++ b/internal/descriptors/descriptors.go
@@ -67,7 +67,7 @@
 	return d.DialWithin(ctx, address, MaxWait)
 }
 
-// DialWithin is Dial with a shorter wait for a free descriptor.
+// DialWithin is Dial with a shorter wait for a free descriptor. It tries twice at least.
 func (d *Dialer) DialWithin(ctx context.Context, address string, wait time.Duration) (net.Conn, error) {
 	var dialer net.Dialer
 	if d != nil {
@@ -82,7 +82,7 @@
 		if err == nil && d != nil && d.Wrap != nil {
 			conn = d.Wrap(conn)
 		}
-		if err == nil || !IsExhausted(err) || waited+dialRetryDelay > wait {
+		if err == nil || !IsExhausted(err) || waited > 0 && waited+dialRetryDelay > wait {
 			return conn, err
 		}
 		exhausted = err
