frontend: a cancel request for a connection that is ending is over at once

Cause: the wait for goroutines that have not run asks neither whether the client has gone nor whether its connection lingers.

Change: it ends at once there. TestCancelOfEndingConnection failed before.

--- a/internal/frontend/cancel.go
+++ b/internal/frontend/cancel.go
@@ -101,6 +101,8 @@
 	for startedAt := time.Now(); time.Since(startedAt) <= stallBacklogTimeout; time.Sleep(backlogPollInterval) {
 		oldest, writing := c.oldestUnanswered()
 		switch {
+		case c.isEnding():
+			return nil, false
 		case oldest != nil && sawWriting && !oldest.followsAnswers:
 			return nil, false // it was pipelined, so the cancel request may be for the answer before it
 		case oldest != nil:
@@ -125,6 +127,13 @@
 	return oldest, false
 }
 
+// isEnding reports whether the connection's goroutine processes no input any more.
+func (c *client) isEnding() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.gone || c.lingering
+}
+
 // interruptRead makes the connection's goroutine return from its read, and process what it has read.
 func (c *client) interruptRead() {
 	c.mu.Lock()
--- a/internal/frontend/cancel_stopped_test.go
+++ b/internal/frontend/cancel_stopped_test.go
@@ -181,3 +181,18 @@
 	q.SendStatement(first)
 	q.Expect(standin.RequestID(first))
 }
+
+// A cancel request for a connection that is ending holds nothing up: no goroutine will process its input.
+func TestCancelOfEndingConnection(t *testing.T) {
+	const atOnce = stallBacklogTimeout / 5
+	s, _, q := serveStopped(t, standin.ReadQuery(20000))
+	c := s.keys.find(keyOf(q))
+	c.mu.Lock()
+	c.lingering = true
+	c.mu.Unlock()
+	startedAt := time.Now()
+	s.serveCancel(keyOf(q))
+	if took := time.Since(startedAt); took > atOnce {
+		t.Errorf("a cancel request took %v, want at most %v", took, atOnce)
+	}
+}
