--- a/review/standin/pipelines.go
+++ b/review/standin/pipelines.go
@@ -15,7 +15,7 @@
 		clients = 340
 		writes  = 300
 		value   = 900 // bytes
-		length  = 8 * time.Second
+		length  = 15 * time.Second
 	)
 	l := limits{1, 64, 1024}
 	if err = w.open(5, 40*time.Millisecond, l); err != nil {
