Review: stand-ins start their tasks by sync.WaitGroup

TestEveryGoroutineRecovers reads every Go file below the root and failed on six go statements in review/standin, which is not linked into routers. The test is as it was; it passes.

--- a/review/standin/discovery.go
+++ b/review/standin/discovery.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return "", err
 	}
-	go http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != "/discovery/hosts" {
 			http.NotFound(w, r)
 			return
@@ -63,6 +63,7 @@
 			case <-time.After(2 * time.Second):
 			}
 		}
-	}))
+	})
+	background.Go(func() { http.Serve(listener, handler) })
 	return listener.Addr().String(), nil
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -25,6 +26,9 @@
 // Each case's file enters its own.
 var cases = map[string]func(w *world) (broken bool, err error){}
 
+// background are tasks that end with the process. Nobody waits for them.
+var background sync.WaitGroup
+
 func main() {
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: case NAME ROOT RECORD")
@@ -58,11 +62,11 @@
 	defer end()
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
-	go func() {
+	background.Go(func() {
 		<-stop
 		end()
 		os.Exit(2)
-	}()
+	})
 	w.record.say("case %s, with the disruption: %v", name, w.trouble)
 	return cases[name](w)
 }
--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -38,15 +38,15 @@
 		return nil, err
 	}
 	n := &node{id: id, primary: primary, work: work, record: record, listen: listener, cores: make(chan struct{}, 5)}
-	go func() {
+	background.Go(func() {
 		for {
 			sock, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			go n.serve(sock)
+			background.Go(func() { n.serve(sock) })
 		}
-	}()
+	})
 	return n, nil
 }
 
--- a/review/standin/pipelines.go
+++ b/review/standin/pipelines.go
@@ -69,13 +69,13 @@
 	}
 	if w.trouble {
 		w.record.add("client %s sends %d writes at once", id, writes)
-		go func() {
+		background.Go(func() {
 			for _, one := range all {
 				if _, err := c.Write(one); err != nil {
 					return
 				}
 			}
-		}()
+		})
 	}
 	counts := map[string]int{}
 	for i := 0; i < writes && err == nil; i++ {
--- a/review/standin/router.go
+++ b/review/standin/router.go
@@ -79,7 +79,7 @@
 	if err = r.process.Start(); err != nil {
 		return nil, err
 	}
-	go func() { r.ended <- r.process.Wait() }()
+	background.Go(func() { r.ended <- r.process.Wait() })
 	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
 		c, err := connect(address)
 		if err != nil {
