frontend: input that arrives later no longer holds up attempts without end

Cause, by a dump of goroutines and a trace of the waits: an attempt waits until no connection is unexamined, which never comes while clients connect; each wait ends by its 20 ms, is then too old, and begins again without a look at the deadline. Besides, the goroutines of such clients take the core for whole time slices, so each look takes 20 to 60 ms.

Change: connections are numbered, and an attempt waits for those that had arrived when it began to; it waits three times at most and not past its deadline; attempts share a wait that timed out; a client's goroutine yields after 8 messages.

--- a/internal/frontend/client.go
+++ b/internal/frontend/client.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"runtime"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -24,6 +25,7 @@
 	sock           net.Conn
 	in, out        *ring.Ring
 	key            pg.BackendKey // for cancel requests; zero before the startup
+	number         int64         // of the connection, in the order in which they were accepted, from 1
 	neededBytes    int           // size of the message at the front of in, as far as it is known
 	longQueryBytes int           // bytes of a long query, which stay in the buffer until its request ends
 
@@ -60,6 +62,10 @@
 // of the smallest memory that a router is given.
 const maxPipelined = 32
 
+// messagesPerTurn is how many messages a connection's goroutine processes before others have their turn. Without it, a few
+// clients that send much at once would hold up timers, nodes and other clients for the scheduler's time slice each.
+const messagesPerTurn = 8
+
 // idleClosing is the value of client.idleSince once the connection is to end.
 const idleClosing = -1
 
@@ -113,6 +119,7 @@
 // readLoop reads and processes messages until the connection ends, and returns the reason.
 func (c *client) readLoop() error {
 	started := false
+	turn := 0 // messages since other goroutines had theirs
 	c.examined.Store(!ring.HasPending(c.sock))
 	for reads := 0; ; reads++ {
 		var err error
@@ -121,6 +128,9 @@
 				c.in.Discard(c.longQueryBytes)
 				c.longQueryBytes, c.exclusive = 0, false
 			}
+			if turn++; turn%messagesPerTurn == 0 {
+				runtime.Gosched()
+			}
 			if started {
 				more, err = c.handleMessage()
 			} else {
--- a/internal/frontend/query.go
+++ b/internal/frontend/query.go
@@ -138,20 +138,29 @@
 // repeated.
 const maxCheckAge = 20 * time.Millisecond
 
+// maxBacklogWaits is how often an attempt waits for the backlog. After that it begins though input may not be examined:
+// where the input of others takes all processor time, no wait would end otherwise.
+const maxBacklogWaits = 3
+
 // isWanted implements upstream.WantedFunc for a request. Before it looks, it waits until input that has
-// arrived is processed, as it may hold a cancel request.
-func (a *pendingAnswer) isWanted() (wanted bool, asOf time.Time) {
+// arrived is processed, as it may hold a cancel request. An attempt is not wanted past its deadline.
+func (a *pendingAnswer) isWanted(deadline time.Time) (wanted bool, asOf time.Time) {
 	c := a.client
-	for {
+	for waits := 1; ; waits++ {
 		asOf = time.Now()
 		stalled := c.server.dispatcher.WaitAfterStall()
 		if stalled {
 			asOf = time.Now()
 		}
-		c.server.catchUp(stalled)
-		wanted = !a.isCanceled.Load() && c.isConnected()
-		if !wanted || time.Since(asOf) <= maxCheckAge {
-			return wanted, asOf
+		complete := c.server.catchUp(stalled, deadline)
+		if waits == maxBacklogWaits {
+			complete, asOf = true, time.Now()
+		}
+		if a.isCanceled.Load() || !time.Now().Before(deadline) || !c.isConnected() {
+			return false, asOf
+		}
+		if complete && time.Since(asOf) <= maxCheckAge {
+			return true, asOf
 		}
 	}
 }
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -106,6 +106,25 @@
 	return pending
 }
 
+// AcceptQueueLength returns how many connections wait to be accepted, and whether the system can tell.
+func AcceptQueueLength(listener net.Listener) (length int, ok bool) {
+	conn, isSystem := listener.(syscall.Conn)
+	if !isSystem {
+		return 0, false
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil {
+			length, ok = int(info.Unacked), true // of a listener, Linux reports the length of its queue here
+		}
+	})
+	return length, ok
+}
+
 // AwaitPeerClose waits, without reading, until the peer has shut down its sending side, and then returns io.EOF. If
 // the read deadline passes first, it returns nil. It returns ErrNotPollable at once for a socket that does not
 // support this.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -137,8 +137,8 @@
 }
 
 // WantedFunc reports, just before a statement is written, whether its client still waits for the answer, and
-// as of when.
-type WantedFunc func() (wanted bool, asOf time.Time)
+// as of when. It returns by the deadline of the attempt, or a moment later if the process gets little processor time.
+type WantedFunc func(deadline time.Time) (wanted bool, asOf time.Time)
 
 // Sender sends a client's statement to nodes. It implements request.Sender.
 type Sender struct {
@@ -281,7 +281,7 @@
 	if d.isWanted == nil {
 		return true
 	}
-	wanted, asOf := d.isWanted()
+	wanted, asOf := d.isWanted(d.deadline)
 	d.checkedAt = asOf
 	if !wanted || d.mayBegin == nil || time.Since(d.startedAt) <= maxCheckAge {
 		return wanted
