frontend: nobody waits for memory to read a query; what has none is told at once

Cause, by a trace of each wait: a message took the memory that it announces before its bytes had come (60 of 300 half messages waited with 1,024 bytes come), and whoever found the budget spent waited up to 2.7 s (12 of 72 whole writes, with 4,096 bytes read), without a look at the request's own deadline, which stands in what was not read yet.

Change: buffers grow with the bytes that come, for clients and nodes. A message for which there is no memory is dropped as it comes, and its client hears 53300 with its last byte, with the time to come back; the connection goes on. A connection that only lingers gives its input buffer back.

Evidence: TestRequestsWhileClientsStopInTheMiddle failed before (8 of 11 and 8 of 12 lost, up to 2.3 s late) and passes (1,020 of 1,020 and 1,013 of 1,013 served). The tests of frontend, ring and upstream pass, also with the race detector.

--- a/cmd/sedgestream/badclients_test.go
+++ b/cmd/sedgestream/badclients_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -28,3 +29,24 @@
 		})
 	}
 }
+
+// Whole writes are served while other clients stop in the middle of long ones and do the same again once they are turned
+// away: the memory that these had announced was what the whole ones waited for, beyond their time (review case 3).
+func TestRequestsWhileClientsStopInTheMiddle(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct{ clients, sent, valueBytes int }{{150, 2000, 8 << 10}, {140, 5000, 24 << 10}} {
+		t.Run(fmt.Sprintf("%d clients, %d bytes, values of %d bytes", test.clients, test.sent, test.valueBytes), func(t *testing.T) {
+			t.Parallel()
+			primary, replica := standin.NewPair(t)
+			router := newRouter(t, primary, replica)
+			router.Limits = `{"cores":1,"memory_mb":64,"sockets":512}`
+			router.Start(os.Args[0])
+			usual := startUsualClients(t, router, 4, func(_, timeoutMs int) string {
+				return strings.Replace(standin.WriteQuery("order", timeoutMs), `\x9f03`, `\x`+strings.Repeat("9f", test.valueBytes), 1)
+			})
+			half := queryMessage(longWrite(2000))[:test.sent]
+			repeatFor(3500*time.Millisecond, test.clients, func(int, int) { sendAndRead(t, router, half, 1) })
+			usual.stopAndCheck(0.5)
+		})
+	}
+}
--- a/internal/frontend/client.go
+++ b/internal/frontend/client.go
@@ -27,7 +27,8 @@
 	key            pg.BackendKey // for cancel requests; zero before the startup
 	number         int64         // of the connection, in the order in which they were accepted, from 1
 	neededBytes    int           // size of the message at the front of in, as far as it is known
-	longQueryBytes int           // bytes of a long query, which stay in the buffer until its request ends
+	dropped        droppedMessage
+	longQueryBytes int // bytes of a long query, which stay in the buffer until its request ends
 
 	mu      sync.Mutex
 	pending []*pendingAnswer // answers that have not been written, in the order of the queries
@@ -179,6 +180,7 @@
 	c.mu.Lock()
 	c.lingering = true
 	c.mu.Unlock()
+	c.in.Release()
 	writer, ok := c.sock.(interface{ CloseWrite() error })
 	if !ok || !final && !c.server.isDraining() || writer.CloseWrite() != nil {
 		return
@@ -261,6 +263,9 @@
 // handleMessage processes the next message if it has arrived completely, and reports whether to look for another.
 func (c *client) handleMessage() (more bool, err error) {
 	c.behindAnswers = false
+	if c.dropped.bytes > 0 {
+		return c.handleDropped()
+	}
 	kind, body, size, err := pg.PeekMessage(c.in)
 	if err != nil {
 		return false, c.sendFatal(pg.ProtocolViolation, "malformed message")
@@ -276,40 +281,48 @@
 		c.in.Discard(size)
 		return true, nil
 	}
+	if kind != 'Q' {
+		err = c.handleNonQuery(kind)
+		c.in.Discard(size)
+		return true, err
+	}
+	long := isLong(size)
+	if c.exclusive = long; long && c.inFlight.Load() > 0 {
+		c.behindAnswers = true
+		return false, nil
+	}
+	err = c.handleQuery(body)
+	if err == errAwaitAnswer {
+		c.behindAnswers = true
+		return false, nil
+	}
+	if long && c.inFlight.Load() > 0 {
+		c.longQueryBytes = size
+		return false, err
+	}
+	c.in.Discard(size)
+	return true, err
+}
+
+// handleNonQuery processes a message that is not a query.
+func (c *client) handleNonQuery(kind byte) error {
 	switch kind {
-	case 'Q': // Query
-		long := isLong(size)
-		if c.exclusive = long; long && c.inFlight.Load() > 0 {
-			c.behindAnswers = true
-			return false, nil
-		}
-		err = c.handleQuery(body)
-		if err == errAwaitAnswer {
-			c.behindAnswers = true
-			return false, nil
-		}
-		if long && c.inFlight.Load() > 0 {
-			c.longQueryBytes = size
-			return false, err
-		}
 	case 'X': // Terminate
-		return false, errClose
+		return errClose
 	case 'S': // Sync
 		c.skipUntilSync = false
-		err = c.reply(pg.AppendReadyForQuery(nil))
+		return c.reply(pg.AppendReadyForQuery(nil))
 	case 'P', 'B', 'D', 'E', 'C', 'F': // Parse, Bind, Describe, Execute, Close, FunctionCall
 		c.skipUntilSync = kind != 'F'
 		reply := pg.AppendError(nil, "ERROR", pg.FeatureNotSupported, "only simple queries are served here", "")
 		if kind == 'F' {
 			reply = pg.AppendReadyForQuery(reply)
 		}
-		err = c.reply(reply)
+		return c.reply(reply)
 	case 'H', 'd', 'c', 'f': // Flush, CopyData, CopyDone, CopyFail
-	default:
-		return false, c.sendFatal(pg.ProtocolViolation, "unknown message")
+		return nil
 	}
-	c.in.Discard(size)
-	return true, err
+	return c.sendFatal(pg.ProtocolViolation, "unknown message")
 }
 
 // setIdle records that nothing has been in flight since the given time.
--- a/internal/frontend/query.go
+++ b/internal/frontend/query.go
@@ -23,11 +23,7 @@
 	if len(body) == 0 || body[len(body)-1] != 0 {
 		return c.sendFatal(pg.ProtocolViolation, "malformed query")
 	}
-	if !c.hasQueried.Swap(true) {
-		c.server.countQuerying()
-	}
-	startedAt := c.messageStartedAt
-	c.messageStartedAt, c.messageTimedOut = time.Time{}, false
+	startedAt := c.noteQuery()
 	text := body[:len(body)-1]
 	if pg.IsEmpty(text) {
 		return c.reply(pg.AppendEmptyQuery(nil))
@@ -58,6 +54,22 @@
 	return c.admitRequest(statement, req, requestMemory(len(body)))
 }
 
+// noteQuery records that a query has come whole, and returns when its message began to arrive.
+func (c *client) noteQuery() (startedAt time.Time) {
+	if !c.hasQueried.Swap(true) {
+		c.server.countQuerying()
+	}
+	startedAt = c.messageStartedAt
+	c.messageStartedAt, c.messageTimedOut = time.Time{}, false
+	return startedAt
+}
+
+// rejectForMemory rejects a query as there is no memory for it.
+func (c *client) rejectForMemory(policy *dispatch.Policy) error {
+	retryAfter := retryAfterMillis(policy.Settings.MaxRetryAfter)
+	return c.reply(pg.AppendReadyForQuery(pg.AppendRejection(nil, retryAfter)))
+}
+
 // admitRequest starts a request if there is memory for it. Without, a client that has no request in hand is told when to
 // come back; another one's query waits until the client has got an answer, for which errAwaitAnswer is returned.
 func (c *client) admitRequest(statement *pg.Statement, req dispatch.Request, memory int64) error {
@@ -67,8 +79,7 @@
 	case pipelined:
 		return errAwaitAnswer
 	default:
-		retryAfter := retryAfterMillis(req.Policy.Settings.MaxRetryAfter)
-		return c.reply(pg.AppendReadyForQuery(pg.AppendRejection(nil, retryAfter)))
+		return c.rejectForMemory(req.Policy)
 	}
 	if !c.server.claimID(statement.ID) {
 		c.server.releaseMemory(memory)
--- a/internal/frontend/read.go
+++ b/internal/frontend/read.go
@@ -34,7 +34,7 @@
 	// Whoever wants the connection to end first records that and then interrupts the read. The interruption
 	// may have come before the deadline was set, so look for the record. Input that has arrived by then must
 	// be answered, and is read.
-	if c.idleSince.Load() == idleClosing || !busy && c.server.shouldEnd(c.hasQueried.Load() && c.in.Len() == 0) {
+	if c.idleSince.Load() == idleClosing || !busy && c.server.shouldEnd(c.hasQueried.Load() && !c.isMidMessage()) {
 		if err := c.end(); err != nil {
 			return err
 		}
@@ -68,7 +68,7 @@
 	if deadline.IsZero() || time.Now().Before(deadline) {
 		return nil // woken, perhaps late for a reason that is gone
 	}
-	if c.in.Len() > 0 {
+	if c.isMidMessage() {
 		return c.sendFatal(pg.ProtocolViolation, "the message took too long")
 	}
 	return c.end()
@@ -77,7 +77,7 @@
 // prepareRead prepares to read from a client without requests in flight. It returns the deadline of the read,
 // zero for none.
 func (c *client) prepareRead() (deadline time.Time, err error) {
-	if c.in.Len() == 0 && c.hasQueried.Load() {
+	if !c.isMidMessage() && c.hasQueried.Load() {
 		c.setIdle(c.server.dispatcher.Now())
 		return time.Time{}, nil
 	}
@@ -88,8 +88,11 @@
 	if c.messageTimedOut {
 		return deadline, c.sendFatal(pg.ProtocolViolation, "the message took too long")
 	}
-	if err := c.in.Reserve(c.neededBytes, deadline); err != nil {
-		return deadline, c.sendFatal(pg.OutOfMemory, "no memory for so long a message")
+	if c.in.TryReserveMore(c.neededBytes) != nil {
+		if !c.hasStarted() {
+			return deadline, c.sendFatal(pg.OutOfMemory, "no memory for so long a message")
+		}
+		c.dropMessage()
 	}
 	if !c.hasQueried.Load() {
 		c.setIdle(c.connectedAt)
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -233,12 +233,48 @@
 			return ErrFull
 		}
 	}
-	larger := make([]byte, newSize)
-	r.copyTo(larger)
-	r.buf, r.start, r.budgetBytes = larger, 0, budgetBytes
+	r.resize(newSize)
+	r.budgetBytes = budgetBytes
+	return nil
+}
+
+// ReserveMore is Reserve for the next read of a message of size bytes in all. It grows a full buffer to twice its size,
+// so that the memory follows the bytes that have come, not those that are announced.
+func (r *Ring) ReserveMore(size int, deadline time.Time) error {
+	if r.length < len(r.buf) {
+		return nil
+	}
+	return r.Reserve(r.nextSize(size), deadline)
+}
+
+// TryReserveMore is ReserveMore without waiting for the budget. If it fails, the buffer is as before.
+func (r *Ring) TryReserveMore(size int) error {
+	if r.length < len(r.buf) {
+		return nil
+	}
+	newSize := r.nextSize(size)
+	if newSize > r.maxSize {
+		return ErrFull
+	}
+	more := newSize - max(len(r.buf), r.initialSize)
+	if more > 0 && !r.budget.TryAcquire(more) {
+		return ErrFull
+	}
+	r.budgetBytes += int64(more)
+	r.resize(newSize)
 	return nil
 }
 
+// nextSize returns the size to which a full buffer grows for a message of size bytes in all.
+func (r *Ring) nextSize(size int) int { return max(r.initialSize, min(size, 2*len(r.buf))) }
+
+// resize moves the buffered bytes to a new buffer.
+func (r *Ring) resize(size int) {
+	larger := make([]byte, size)
+	r.copyTo(larger)
+	r.buf, r.start = larger, 0
+}
+
 // copyTo copies the buffered bytes to the start of a slice.
 func (r *Ring) copyTo(to []byte) {
 	n := copy(to, r.buf[r.start:min(r.start+r.length, len(r.buf))])
--- a/internal/ring/ring_test.go
+++ b/internal/ring/ring_test.go
@@ -130,3 +130,39 @@
 type failing struct{}
 
 func (failing) Write([]byte) (int, error) { return 0, io.ErrClosedPipe }
+
+// A buffer grows with the bytes that have come, to twice their number at most; without budget it stays as it is, and so
+// does what it has taken.
+func TestReserveMore(t *testing.T) {
+	budget := NewBudget(100)
+	r := New(16, 1000, budget)
+	for _, want := range []int{16, 32, 64} {
+		if err := r.TryReserveMore(90); err != nil {
+			t.Fatal(err)
+		}
+		if n, _ := r.Fill(bytes.NewReader(make([]byte, 1000))); r.Len() != want {
+			t.Errorf("read %d, %d bytes in all, want %d", n, r.Len(), want)
+		}
+	}
+	other := New(16, 1000, budget)
+	other.Fill(bytes.NewReader(make([]byte, 16)))
+	if err := other.TryReserveMore(1000); err != nil { // 16 of the 52 left
+		t.Error(err)
+	}
+	if err := r.TryReserveMore(200); err != ErrFull || r.Len() != 64 { // 64 more of the 36 left
+		t.Errorf("%d bytes without budget: %v", r.Len(), err)
+	}
+	if err := r.ReserveMore(90, time.Time{}); err != nil { // 74 in all of the 84 that the other one leaves
+		t.Error(err)
+	}
+	r.Release()
+	other.Release()
+	if !budget.TryAcquire(100) {
+		t.Error("not all of the budget is returned")
+	}
+	small := New(16, 20, nil)
+	small.Fill(bytes.NewReader(make([]byte, 16)))
+	if err := small.TryReserveMore(40); err != ErrFull {
+		t.Errorf("a buffer grows beyond its size: %v", err)
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -177,9 +177,9 @@
 	c.localFailure = exhausted || stalled
 }
 
-// readMore reads once, into a buffer that can hold so many bytes in all.
+// readMore reads once. The buffer grows with the bytes that come, up to so many in all.
 func (c *conn) readMore(size int, deadline time.Time) error {
-	if err := c.in.Reserve(size, deadline); err != nil {
+	if err := c.in.ReserveMore(size, deadline); err != nil {
 		return err
 	}
 	_, err := c.in.Fill(c.sock)
