upstream: the name of a node for the log is read under the lock that guards it

What the review's build with the race detector saw: a connection that ends reads its node's name for the log while the list names the node again (Pool.SetNode). It always holds the same text, so callers saw nothing.

Change: a connection keeps the name it was started under, read under the pool's lock like the address.

Evidence: TestNodeIsNamedWhileConnectionsEnd fails before with the race detector (DATA RACE) and passes three times.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -21,6 +21,7 @@
 type conn struct {
 	pool         *Pool
 	node         *node
+	name         string // of the node, when the connection was started
 	address      string
 	sock         net.Conn
 	in, out      *ring.Ring
@@ -47,7 +48,7 @@
 		if p := recover(); p != nil {
 			c.pool.log.Error("panic in the goroutine of a node connection", zap.Any("panic", p), zap.Stack("stack"))
 		}
-		c.pool.log.Debug("node connection ends", zap.String("node", c.node.name), zap.String("address", c.address),
+		c.pool.log.Debug("node connection ends", zap.String("node", c.name), zap.String("address", c.address),
 			zap.NamedError("reason", c.closeReason))
 		if c.release(); c.current != nil {
 			c.finish(c.current, balance.ConnectionLost, &pg.Answer{})
@@ -171,7 +172,7 @@
 	c.closeReason = err
 	exhausted := descriptors.IsExhausted(err)
 	if exhausted {
-		c.pool.log.Warn("no descriptor left for a node connection", zap.String("node", c.node.name), zap.Error(err))
+		c.pool.log.Warn("no descriptor left for a node connection", zap.String("node", c.name), zap.Error(err))
 	}
 	stalled := descriptors.IsTimeout(err) && time.Since(deadline) > lateTimeoutTolerance
 	c.localFailure = exhausted || stalled
@@ -256,7 +257,7 @@
 			c.sock.SetReadDeadline(time.Now().Add(finalReadTimeout))
 			continue
 		case errors.Is(err, pg.ErrMalformed):
-			c.pool.log.Warn("a node answered nonsense", zap.String("node", c.node.name))
+			c.pool.log.Warn("a node answered nonsense", zap.String("node", c.name))
 		case answer.OutcomeKnown():
 			return answer.Outcome, answer
 		case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, ring.ErrFull):
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -186,16 +186,16 @@
 		p.mu.Unlock()
 		return
 	}
+	name, address := n.name, n.address
 	if p.open >= p.maxOpen && !p.closeOldestIdleLocked() {
 		p.mu.Unlock()
-		p.log.Warn("no connection left for a trip", zap.String("node", n.name))
+		p.log.Warn("no connection left for an attempt", zap.String("node", name))
 		d.finish(request.Result{Outcome: balance.NotSent})
 		return
 	}
 	p.open++
-	address := n.address
 	p.mu.Unlock()
-	c := &conn{pool: p, node: n, address: address, in: ring.New(ring.InitialSize, pg.MaxMessageSize, p.budget),
+	c := &conn{pool: p, node: n, name: name, address: address, in: ring.New(ring.InitialSize, pg.MaxMessageSize, p.budget),
 		out: ring.New(ring.InitialSize, pg.MaxMessageSize, p.budget)}
 	recovery.Go(p.log, "node connection", func() { c.serve(d) }, nil)
 }
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -11,6 +11,7 @@
 	"sedgestream/balance"
 	"sedgestream/internal/request"
 	"sedgestream/internal/ring"
+	"sedgestream/internal/standin"
 )
 
 // A node that the list names without an address, as it leaves, keeps the one it had: outstanding attempts may
@@ -82,3 +83,20 @@
 		t.Error("a connection with excess bytes in its buffer was kept")
 	}
 }
+
+// The list may name a node again while connections to it begin and end. The race detector saw the name for the log read
+// beside that (make race).
+func TestNodeIsNamedWhileConnectionsEnd(t *testing.T) {
+	node := standin.NewNode(t, "source")
+	pool := New(&balance.Settings{ConnectTimeout: int64(time.Second)}, Limits{Connections: 9}, zap.NewNop())
+	pool.SetNode(0, "s-0", node.Listener.Addr().String())
+	const attempts = 20
+	done := make(chan struct{}, attempts)
+	for range attempts {
+		d := &delivery{deadline: time.Now().Add(standin.WaitTimeout), startedAt: time.Now(), done: func(request.Result) { done <- struct{}{} }}
+		pool.start(d, true)
+		pool.SetNode(0, "s-0", node.Listener.Addr().String())
+		<-done
+		pool.CloseAllIdle()
+	}
+}
