frontend: a connection stalled in the middle of a message makes room where all are taken

Cause, by a dump of goroutines: accept waits for a connection to end, all 120 stand in a read of the rest of a message, and only idle ones were closed to make room. A query on a reserved connection had no limit of its own for that wait.

Change: where none is idle, the connection that has been stalled longest ends with 53300, if no byte has come for 0.25 s; what comes meanwhile is read first. The wait on a reserved connection is a fifth of the request's time at most.

--- a/cmd/sedgestream/badclients_test.go
+++ b/cmd/sedgestream/badclients_test.go
@@ -50,3 +50,17 @@
 		})
 	}
 }
+
+// Requests over new connections are answered in time while others hold all connections that clients may have by messages
+// of which the rest does not come.
+func TestNewConnectionsWhileClientsStopInTheMiddle(t *testing.T) {
+	t.Parallel()
+	primary, replica := standin.NewPair(t)
+	router := newRouter(t, primary, replica)
+	router.Limits = `{"cores":1,"memory_mb":64,"sockets":256}`
+	router.Start(os.Args[0])
+	usual := startConnectingClients(t, router, 4, func(_, timeoutMs int) string { return standin.ReadQuery(timeoutMs) })
+	messages := append(queryMessage(""), queryMessage(longWrite(2000))[:1000]...)
+	repeatFor(4*time.Second, 150, func(int, int) { sendAndRead(t, router, messages, 2) })
+	usual.stopAndCheck(0.5)
+}
--- a/cmd/sedgestream/usualclients_test.go
+++ b/cmd/sedgestream/usualclients_test.go
@@ -22,6 +22,7 @@
 	router  *standin.Harness
 	clients sync.WaitGroup
 	stop    chan struct{}
+	anew    bool // each request is sent over a new connection, directly behind the startup message
 
 	sent, served, lost atomic.Int64
 	latest             atomic.Int64 // ns that an answer took beyond its client's time, at most
@@ -31,13 +32,24 @@
 // its client waits.
 func startUsualClients(t *testing.T, router *standin.Harness, count int, next func(n, timeoutMs int) (query string)) *usualClients {
 	u := &usualClients{t: t, router: router, stop: make(chan struct{})}
+	u.start(count, next)
+	return u
+}
+
+// startConnectingClients is startUsualClients for clients that send each request over a new connection.
+func startConnectingClients(t *testing.T, router *standin.Harness, count int, next func(n, timeoutMs int) (query string)) *usualClients {
+	u := &usualClients{t: t, router: router, stop: make(chan struct{}), anew: true}
+	u.start(count, next)
+	return u
+}
+
+func (u *usualClients) start(count int, next func(n, timeoutMs int) (query string)) {
 	for i := range count {
 		u.clients.Go(func() {
 			for n := i; u.sendRequests(&n, next); {
 			}
 		})
 	}
-	return u
 }
 
 // sendRequests sends requests over one connection until the router closes it, and reports whether to go on with another.
@@ -50,22 +62,42 @@
 	defer sock.Close()
 	sock.SetDeadline(time.Now().Add(standin.WaitTimeout))
 	client := standin.NewClient(u.t, sock)
-	started := client.Startup()
-	for ; started; *n++ {
+	if !u.anew && !client.Startup() {
+		return true
+	}
+	for goOn = true; goOn; *n++ {
 		select {
 		case <-u.stop:
 			return false
 		case <-time.After(20 * time.Millisecond):
 		}
 		timeoutMs := 400 + 100*(*n%6)
+		query := next(*n, timeoutMs)
 		sentAt := time.Now()
-		answer, err := client.Query(next(*n, timeoutMs))
+		answer, err := u.query(client, query)
 		u.count(answer, time.Since(sentAt)-time.Duration(timeoutMs)*time.Millisecond)
-		if err != nil {
+		if err != nil || u.anew {
+			*n++
 			return true
 		}
 	}
-	return true
+	return false
+}
+
+// query sends a query and returns its answer.
+func (u *usualClients) query(client *standin.Client, query string) (answer string, err error) {
+	if !u.anew {
+		return client.Query(query)
+	}
+	client.Send(&pgproto3.StartupMessage{ProtocolVersion: 196608, Parameters: map[string]string{"user": "worker", "database": "catalog"}})
+	client.Send(&pgproto3.Query{String: query})
+	if err = client.Flush(); err != nil {
+		return "", err
+	}
+	if _, err = client.ReadAnswer(); err != nil { // that of the startup
+		return "", err
+	}
+	return client.ReadAnswer()
 }
 
 // count counts a request by its answer, which came so long after its client's time.
--- a/internal/frontend/client.go
+++ b/internal/frontend/client.go
@@ -41,6 +41,8 @@
 	inputWaiting atomic.Bool   // more input has arrived than can be processed before an answer is written
 	answerDone   chan struct{} // signaled when an answer has been written while input waits
 	idleSince    atomic.Int64  // 0 while a request is in flight or a message is partly read; or idleClosing
+	stalledSince atomic.Int64  // when the last byte came of a message whose rest is awaited with nothing in flight; else 0
+	evicted      atomic.Bool   // the connection is to end, as it is stalled and room is needed, unless more has come
 	seenAt       atomic.Int64  // when the client was last known to be connected
 	hasQueried   atomic.Bool   // it has sent a query; a connection without one counts as idle since it was accepted
 	examined     atomic.Bool   // the goroutine has found no input at its start, or has processed what had arrived
--- a/internal/frontend/descriptors.go
+++ b/internal/frontend/descriptors.go
@@ -6,14 +6,14 @@
 // another use, which is retried within that time. Clients wait in the listener's queue meanwhile.
 const acceptPause = 20 * time.Millisecond
 
-// FreeDescriptor closes an idle connection, as the process has no descriptor left for a connection to a node
+// FreeDescriptor closes an idle or stalled connection, as the process has no descriptor left for a connection to a node
 // or to discovery, and keeps new clients from taking the descriptor. It reports whether any connection is
 // ending.
 func (s *Server) FreeDescriptor() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.acceptAfter = time.Now().Add(acceptPause)
-	return s.closeOldestIdleLocked(false)
+	return s.makeRoomLocked(false)
 }
 
 // acceptDelay returns how long to wait before the next accept.
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -92,7 +92,7 @@
 }
 
 // Serve accepts connections until the server is closed. If all regular connections are in use, the one idle
-// longest is closed. Until that has ended, or if none is idle, a new client gets a reserved connection: its
+// longest is closed, or else one that is stalled in the middle of a message. Until that has ended, or if none is idle, a new client gets a reserved connection: its
 // query is rejected if there is still no room when the query has arrived. If the reserved connections are in
 // use too, accepting waits. After Close it still accepts the connections in the listener's queue: the system
 // has acknowledged what these clients wrote, so they must get an answer.
@@ -134,13 +134,13 @@
 		s.backlog.add(c)
 		s.mu.Lock()
 		if c.reserved = len(s.clients) >= s.maxClients; c.reserved {
-			s.closeOldestIdleLocked(false)
+			s.makeRoomLocked(false)
 		}
 		for len(s.clients) >= s.maxClients+s.maxReserved {
 			s.waitingForRoom.Store(true)
 			s.backlog.blocked.Store(true)
-			s.closeOldestIdleLocked(false)
-			s.clientsChanged.Wait()
+			s.makeRoomLocked(false)
+			s.awaitChangeLocked()
 		}
 		s.waitingForRoom.Store(false)
 		s.backlog.blocked.Store(false)
@@ -187,7 +187,7 @@
 func (s *Server) closeOneIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.closeOldestIdleLocked(false)
+	s.makeRoomLocked(false)
 }
 
 // countQuerying records that one more client has sent a query, and closes an idle connection if there are
@@ -198,7 +198,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.querying++; s.querying > s.maxQuerying {
-		s.closeOldestIdleLocked(true)
+		s.makeRoomLocked(true)
 	}
 }
 
@@ -231,20 +231,6 @@
 	s.clientsChanged.Broadcast()
 }
 
-// awaitRegularSlot reports whether a reserved connection can be a regular one by now. It closes idle
-// connections and waits for them to end.
-func (s *Server) awaitRegularSlot() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for len(s.clients) > s.maxClients {
-		if !s.closeOldestIdleLocked(false) {
-			return false
-		}
-		s.clientsChanged.Wait()
-	}
-	return true
-}
-
 func (s *Server) remove(c *client) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/frontend/query.go
+++ b/internal/frontend/query.go
@@ -43,9 +43,8 @@
 	if c.server.rejectsNew.Load() { // the client retries at another router
 		return c.reply(pg.AppendReadyForQuery(pg.AppendRejection(nil, "")))
 	}
-	if c.reserved && !c.server.awaitRegularSlot() {
-		c.reply(pg.AppendTooManyConnections(nil))
-		return errCloseAfterAnswers
+	if c.reserved && !c.server.awaitRegularSlot(c.slotWait(statement, req)) {
+		return c.sendTooManyConnections()
 	}
 	c.reserved = false
 	if c.hasGone(startedAt) { // no attempt is sent for it
@@ -156,6 +155,11 @@
 	return remaining - min(transitAllowance, remaining/16)
 }
 
+// slotWait returns how long a request may wait for a regular connection.
+func (c *client) slotWait(statement *pg.Statement, req dispatch.Request) time.Duration {
+	return time.Duration(slotWaitShare * float64(c.remainingTime(statement, req)))
+}
+
 // hasGone reports whether the client of the current query has disconnected, which may be unread behind its
 // input. It checks the socket only if the query, whose message began to arrive at the given time, may have
 // waited here or in the socket.
--- a/internal/frontend/read.go
+++ b/internal/frontend/read.go
@@ -15,6 +15,9 @@
 	inFlight := c.inFlight.Load()
 	wasFull := (c.isFull() || c.behindAnswers) && c.in.Len() > c.longQueryBytes
 	busy := inFlight > 0
+	if busy {
+		c.evicted.Store(false) // decided before its message had come whole
+	}
 	if !busy && (c.longQueryBytes > 0 || c.behindAnswers) {
 		return nil // the last request has just ended: its long query is released, or the query behind it is handled first
 	}
@@ -43,7 +46,17 @@
 	if c.inFlight.Load() != inFlight {
 		return nil // a request has just ended, and its interruption may have come before the deadline was set
 	}
+	if !busy && c.isMidMessage() {
+		c.stalledSince.Store(c.readAt)
+	}
 	n, err := c.fill(deadline)
+	c.stalledSince.Store(0)
+	if c.evicted.Swap(false) {
+		if n == 0 && !busy && c.isMidMessage() {
+			return c.sendTooManyConnections()
+		}
+		c.server.notifyChanged() // another connection has to end instead of this one
+	}
 	if c.idleSince.Swap(0) == idleClosing {
 		if n == 0 {
 			if err := c.end(); err != nil {
