--- a/internal/frontend/client.go
+++ b/internal/frontend/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"runtime"
 	"slices"
@@ -72,11 +71,6 @@
 // idleClosing is the value of client.idleSince once the connection is to end.
 const idleClosing = -1
 
-// lingerTimeout is how long the end of a connection may wait for the acknowledgement of its last bytes. A
-// restart allows for this much time after the last request; a router that takes longer could be killed with
-// an answer unsent.
-const lingerTimeout = 200 * time.Millisecond
-
 var (
 	errClose             = errors.New("connection closed by the router")
 	errCloseAfterAnswers = errors.New("connection closed by the router after its last answer")
@@ -170,36 +164,6 @@
 	}
 }
 
-// lingerClose shuts the connection for writing, and waits until it can be closed without a TCP reset where
-// one could follow. The system resets a connection that is closed with unread input, and one that gets input
-// after it was closed. A reset discards the answers that have not reached the client's machine yet.
-//
-// After a final answer, further input is dropped until the client closes the connection too, for readTimeout
-// at most or until the connection is needed for another client. While the server drains, clients go on
-// sending, so only the acknowledgement of what they were sent is awaited. A query that crosses the end of an
-// idle connection is not read, so that its client retries elsewhere.
-func (c *client) lingerClose(final bool) {
-	c.mu.Lock()
-	c.lingering = true
-	c.mu.Unlock()
-	c.in.Release()
-	writer, ok := c.sock.(interface{ CloseWrite() error })
-	if !ok || !final && !c.server.isDraining() || writer.CloseWrite() != nil {
-		return
-	}
-	if !c.server.isDraining() {
-		c.setIdle(c.server.dispatcher.Now())
-		c.sock.SetReadDeadline(time.Now().Add(readTimeout))
-		if c.idleSince.Load() != idleClosing {
-			io.Copy(io.Discard, struct{ io.Reader }{c.sock})
-		}
-		return
-	}
-	for deadline := time.Now().Add(lingerTimeout); ring.UnacknowledgedBytes(c.sock) > 0 && time.Now().Before(deadline); {
-		time.Sleep(lingerTimeout / 64)
-	}
-}
-
 // isFull reports whether the next query has to wait for an answer.
 func (c *client) isFull() bool {
 	n := c.inFlight.Load()
