frontend: a connection is read on while requests are in hand, so that its end is seen

Cause: with 32 requests in hand the connection was not read, and its end stood at the client's machine behind bytes for which the socket had no room; a look without reading shows only an end that has arrived.

Change: it is read on, up to 512 KB, as long as half of the budget for large values is left. What was read ahead waits for earlier queries, which does not count: a query's clock starts anew when it is its turn.

--- a/internal/frontend/admission_test.go
+++ b/internal/frontend/admission_test.go
@@ -140,3 +140,27 @@
 		t.Errorf("%d ids are still open", len(s.openIDs))
 	}
 }
+
+// The time that a query spends waiting for earlier ones of its connection is not taken from its own.
+func TestClockOfQueryBehindFullPipeline(t *testing.T) {
+	s, answerAll := newServerWithMemory(t, 4*maxPipelined)
+	client := connectAndQuery(t, s, "")
+	client.Expect("")
+	client.Expect("empty")
+	queries := make([]string, maxPipelined)
+	for i := range queries {
+		queries[i] = standin.ReadQuery(20000)
+		client.SendStatement(queries[i])
+	}
+	last := standin.ReadQuery(300)
+	client.SendStatement(last)
+	standin.WaitFor(t, "a full pipeline", func() bool { return s.dispatcher.InFlight() > 0 })
+	time.Sleep(600 * time.Millisecond)
+	answerAll()
+	for _, query := range queries {
+		if answer := client.Answer(); answer != standin.RequestID(query) && answer != "53300" {
+			t.Errorf("answered with %q", answer)
+		}
+	}
+	client.Expect(standin.RequestID(last))
+}
--- a/internal/frontend/client.go
+++ b/internal/frontend/client.go
@@ -143,7 +143,11 @@
 			}
 			c.processing.Store(false)
 			c.readPasses.Add(1)
+			waiting := c.isWaiting()
 			err = c.read()
+			if waiting && !c.isFull() {
+				c.restartClock()
+			}
 		}
 		if err == errCloseAfterAnswers {
 			for n := c.inFlight.Load(); n > 0 && err == errCloseAfterAnswers; n = c.inFlight.Load() {
@@ -170,6 +174,18 @@
 	return n >= maxPipelined || c.exclusive && n > 0
 }
 
+// isWaiting reports whether a query that has been read waits for an answer to one before it.
+func (c *client) isWaiting() bool {
+	return (c.isFull() || c.behindAnswers) && c.in.Len() > c.longQueryBytes
+}
+
+// restartClock counts the time of the next query from now on, as time spent waiting for earlier ones does not count. The
+// client may have gone meanwhile.
+func (c *client) restartClock() {
+	c.readAt = c.server.dispatcher.Now()
+	c.endChecked = false
+}
+
 // markGone gives up the pending answers, as the client has disconnected or waits for none. It does not wait
 // for an answer that is being written to a client that does not read.
 func (c *client) markGone() {
--- a/internal/frontend/disconnect_test.go
+++ b/internal/frontend/disconnect_test.go
@@ -151,3 +151,50 @@
 	close(proceed)
 	expectRequests(t, s, n, 0)
 }
+
+// A client that sends more than the buffers of the system hold, behind a query that takes long, and closes its connection
+// is seen to have gone. Its end had not arrived, as nobody read what it had sent before, and attempts began for it.
+func TestClientSendsMuchAndGoes(t *testing.T) {
+	n := standin.NewNode(t, "source")
+	s := newTestServer(t, n.Listener.Addr().String())
+	proceed := make(chan struct{})
+	n.Handler = func(*pgproto3.Backend, net.Conn, string) { <-proceed }
+	defer close(proceed)
+	near, far := tcpPairWithReadBuffer(t, 4<<10)
+	q := serveConnection(t, s, near, far)
+	var messages []byte
+	for len(messages) < maxReadAhead/2 {
+		messages = append(messages, queryBytes(standin.ReadQuery(20000))...)
+	}
+	if _, err := q.Conn.Write(messages); err != nil {
+		t.Fatal(err)
+	}
+	q.Conn.Close()
+	closedAt := time.Now()
+	standin.WaitFor(t, "the connection to end", func() bool { return s.ClientCount() == 0 })
+	if took := time.Since(closedAt); took > goneTime {
+		t.Errorf("the client's end was seen after %v, want %v", took, goneTime)
+	}
+	standin.WaitFor(t, "all memory to be returned", func() bool { return s.budget.TryAcquire(1 << 20) })
+}
+
+// Without memory to read on, the queries wait in the socket, and all are answered in the end.
+func TestManyQueriesWithoutMemoryToReadOn(t *testing.T) {
+	s := newServerWithBudget(t, ring.InitialSize)
+	client := connectAndQuery(t, s, "")
+	client.Expect("")
+	client.Expect("empty")
+	var messages []byte
+	var ids []string
+	for len(messages) < 20<<10 {
+		query := standin.ReadQuery(20000)
+		ids = append(ids, standin.RequestID(query))
+		messages = append(messages, queryBytes(query)...)
+	}
+	go client.Conn.Write(messages)
+	for _, id := range ids {
+		if answer := client.Answer(); answer != id && answer != "53300" {
+			t.Fatalf("answered with %q", answer)
+		}
+	}
+}
--- a/internal/frontend/read.go
+++ b/internal/frontend/read.go
@@ -13,7 +13,7 @@
 // must arrive within readTimeout; between messages a client may be silent for any time.
 func (c *client) read() error {
 	inFlight := c.inFlight.Load()
-	wasFull := (c.isFull() || c.behindAnswers) && c.in.Len() > c.longQueryBytes
+	wasWaiting := c.isWaiting()
 	busy := inFlight > 0
 	if busy {
 		c.evicted.Store(false) // decided before its message had come whole
@@ -23,7 +23,7 @@
 	}
 	// Also set for a long query, whose buffer has to be released as its request ends.
 	c.inputWaiting.Store(c.in.Len() > c.longQueryBytes || c.longQueryBytes > ring.InitialSize)
-	if busy && c.in.FreeSpace() == 0 { // further queries, and the end of the stream, wait in the socket
+	if busy && c.in.FreeSpace() == 0 && !c.canReadAhead() { // further queries, and the end of the stream, wait in the socket
 		return c.awaitAnswer(inFlight)
 	}
 	var deadline time.Time
@@ -68,13 +68,23 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return c.handleReadDeadline(deadline)
 	}
-	if !wasFull { // otherwise the input to process next has been read before
+	if !wasWaiting { // otherwise the input to process next has been read before
 		c.readAt = c.server.dispatcher.Now()
 		c.seenAt.Store(c.readAt)
 	}
 	return err
 }
 
+// maxReadAhead is how many bytes of a client's input are kept while its requests are in flight.
+const maxReadAhead = 512 << 10
+
+// canReadAhead makes room to read on while requests are in flight and the buffer is full, and reports whether there is
+// any. Reading on is the only way to see that a client has gone which has sent more than the system's buffers hold: the
+// end of its stream has not arrived yet. The buffer of a long query in flight is left as it is.
+func (c *client) canReadAhead() bool {
+	return c.longQueryBytes == 0 && c.in.TryExtend(maxReadAhead) == nil
+}
+
 // handleReadDeadline handles a read without input that ended by a deadline: the given one, or one that was set
 // to wake the goroutine.
 func (c *client) handleReadDeadline(deadline time.Time) error {
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -185,6 +185,19 @@
 // TryAcquire takes n bytes if they are available now, for Release to return.
 func (b *Budget) TryAcquire(n int) bool { return b == nil || b.available.TryAcquire(int64(n)) }
 
+// tryAcquireSpare takes n bytes if half of the budget is left then.
+func (b *Budget) tryAcquireSpare(n int64) bool {
+	if b == nil {
+		return true
+	}
+	reserve := b.total / 2
+	if !b.available.TryAcquire(n + reserve) {
+		return false
+	}
+	b.available.Release(reserve)
+	return true
+}
+
 // Release returns bytes that TryAcquire took.
 func (b *Budget) Release(n int) { b.release(int64(n)) }
 
@@ -265,6 +278,19 @@
 	return nil
 }
 
+// TryExtend doubles a full buffer beyond the size of a message, up to limit bytes, if the budget then has half of its
+// bytes left for others. If it fails, the buffer is as before.
+func (r *Ring) TryExtend(limit int) error {
+	newSize := min(2*len(r.buf), limit)
+	more := newSize - len(r.buf)
+	if more <= 0 || !r.budget.tryAcquireSpare(int64(more)) {
+		return ErrFull
+	}
+	r.budgetBytes += int64(more)
+	r.resize(newSize)
+	return nil
+}
+
 // nextSize returns the size to which a full buffer grows for a message of size bytes in all.
 func (r *Ring) nextSize(size int) int { return max(r.initialSize, min(size, 2*len(r.buf))) }
 
--- a/internal/ring/ring_test.go
+++ b/internal/ring/ring_test.go
@@ -166,3 +166,26 @@
 		t.Errorf("a buffer grows beyond its size: %v", err)
 	}
 }
+
+// A buffer is extended only while the budget keeps half of its bytes for others.
+func TestTryExtend(t *testing.T) {
+	budget := NewBudget(100)
+	r := New(16, 20, budget)
+	for _, want := range []int{16, 32, 60} {
+		if n, _ := r.Fill(bytes.NewReader(make([]byte, 1000))); r.Len() != want {
+			t.Fatalf("read %d, %d bytes in all, want %d", n, r.Len(), want)
+		}
+		if err := r.TryExtend(60); (err == nil) != (want < 60) {
+			t.Errorf("extended beyond %d bytes of 60: %v", want, err)
+		}
+	}
+	other := New(16, 20, budget)
+	other.Fill(bytes.NewReader(make([]byte, 16)))
+	if err := other.TryExtend(60); err != ErrFull { // 44 bytes are taken, and 50 are for others
+		t.Errorf("extended with too little left: %v", err)
+	}
+	r.Discard(60)
+	if !budget.TryAcquire(100) {
+		t.Error("not all of the budget is returned")
+	}
+}
