--- a/internal/frontend/answers.go
+++ b/internal/frontend/answers.go
@@ -20,7 +20,7 @@
 	id          string
 	handle      *dispatch.RequestHandle // of the request, if there is one; set before this is pending
 	parts       [][]byte                // the messages of the answer, nil until there is one
-	budgetBytes int                     // bytes taken from the budget while the answer waits for those before it
+	budgetBytes int                     // bytes taken from the budget for a long answer until it is written
 	memoryBytes int64                   // bytes of the request's share in the memory of all requests in hand
 	memoryUsers atomic.Int32            // of memoryUsers those that have not ended
 
@@ -29,9 +29,15 @@
 	isCanceled atomic.Bool // by a cancel request
 }
 
+// unbudgetedWriteTimeout is how long a client may take to read an answer for whose memory the budget has nothing left.
+const unbudgetedWriteTimeout = 100 * time.Millisecond
+
 // write writes to the client, which must read it within readTimeout.
-func (c *client) write(parts ...[]byte) error {
-	c.sock.SetWriteDeadline(time.Now().Add(readTimeout))
+func (c *client) write(parts ...[]byte) error { return c.writeWithin(readTimeout, parts) }
+
+// writeWithin writes to the client, which must read it within the given time.
+func (c *client) writeWithin(timeout time.Duration, parts [][]byte) error {
+	c.sock.SetWriteDeadline(time.Now().Add(timeout))
 	for _, part := range parts {
 		if c.out.Len()+len(part) > ring.InitialSize {
 			if err := c.out.Flush(c.sock); err != nil {
@@ -47,11 +53,18 @@
 	return c.out.Flush(c.sock)
 }
 
-// writeUnlocked writes with mu released. The caller holds mu, and has set writing so that nobody else writes.
-func (c *client) writeUnlocked(parts [][]byte) error {
+// writeUnlocked writes an answer with mu released. The caller holds mu, and has set writing so that nobody else writes. A
+// long answer takes its memory from the budget meanwhile, if there is any: clients that don't read would otherwise hold
+// any number of them.
+func (a *pendingAnswer) writeUnlocked() error {
+	timeout := readTimeout
+	if !a.acquireBudget() {
+		timeout = unbudgetedWriteTimeout
+	}
+	c, parts := a.client, a.parts
 	c.mu.Unlock()
 	defer c.mu.Lock()
-	return c.write(parts...)
+	return c.writeWithin(timeout, parts)
 }
 
 // writeDirect writes from the connection's own goroutine while nothing is in flight. Nothing is read
@@ -97,7 +110,7 @@
 	}
 	for c.writing = true; len(c.pending) > 0 && c.pending[0].parts != nil; {
 		next := c.pending[0]
-		if err := c.writeUnlocked(next.parts); err != nil {
+		if err := next.writeUnlocked(); err != nil {
 			c.sock.Close()
 		}
 		if c.gone {
@@ -124,19 +137,33 @@
 // reserveMemory takes the memory of a long answer that has to wait from the budget. If the budget has none
 // left, the answer is replaced by a failure, since the request has run and must not be reported as rejected.
 func (a *pendingAnswer) reserveMemory() {
-	size := 0
-	for _, part := range a.parts {
-		size += len(part)
-	}
-	if size <= ring.InitialSize {
+	if a.acquireBudget() {
 		return
 	}
-	if a.client.server.budget.TryAcquire(size) {
-		a.budgetBytes = size
-	} else {
-		a.client.server.log.Warn("no memory for an answer that has to wait", zap.Int("bytes", size))
-		a.parts = [][]byte{pg.AppendReadyForQuery(pg.AppendFailure(nil))}
+	a.client.server.log.Warn("no memory for an answer that has to wait", zap.Int("bytes", a.size()))
+	a.parts = [][]byte{pg.AppendReadyForQuery(pg.AppendFailure(nil))}
+}
+
+// acquireBudget takes the memory of a long answer from the budget, unless it has been taken, and reports whether there was
+// enough. Short ones are covered by the memory of their requests. The caller holds the client's mu.
+func (a *pendingAnswer) acquireBudget() bool {
+	size := a.size()
+	if size <= ring.InitialSize || a.budgetBytes > 0 {
+		return true
+	}
+	if !a.client.server.budget.TryAcquire(size) {
+		return false
+	}
+	a.budgetBytes = size
+	return true
+}
+
+// size returns the bytes of the answer.
+func (a *pendingAnswer) size() (bytes int) {
+	for _, part := range a.parts {
+		bytes += len(part)
 	}
+	return bytes
 }
 
 // Succeeded implements request.Client.
--- a/internal/frontend/room.go
+++ b/internal/frontend/room.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"sedgestream/internal/pg"
+	"sedgestream/internal/recovery"
 	"sedgestream/internal/ring"
 )
 
@@ -47,7 +48,7 @@
 
 // awaitChangeLocked waits until connections have changed, or for roomCheckInterval. The caller holds mu.
 func (s *Server) awaitChangeLocked() {
-	timer := time.AfterFunc(roomCheckInterval, s.notifyChanged)
+	timer := recovery.AfterFunc(s.log, "room check", roomCheckInterval, s.notifyChanged)
 	defer timer.Stop()
 	s.clientsChanged.Wait()
 }
