frontend: making room for connections stands in one file

Cause: with the end of stalled connections, frontend.go and client.read had grown, and what makes room stood in two files.

Change: closeOneIdle, countQuerying and closeOldestIdleLocked move to room.go unchanged; what a read does for a connection that was chosen to end is a function of its own (endIfChosen), otherwise as it was.

Measured: the tests of frontend and recovery pass, also with the race detector.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -92,10 +92,11 @@
 }
 
 // Serve accepts connections until the server is closed. If all regular connections are in use, the one idle
-// longest is closed, or else one that is stalled in the middle of a message. Until that has ended, or if none is idle, a new client gets a reserved connection: its
-// query is rejected if there is still no room when the query has arrived. If the reserved connections are in
-// use too, accepting waits. After Close it still accepts the connections in the listener's queue: the system
-// has acknowledged what these clients wrote, so they must get an answer.
+// longest is closed, or else one that is stalled in the middle of a message. Until that has ended, or if there is
+// none, a new client gets a reserved connection: its query is rejected if there is still no room when the query
+// has arrived. If the reserved connections are in use too, accepting waits. After Close it still accepts the
+// connections in the listener's queue: the system has acknowledged what these clients wrote, so they must get an
+// answer.
 func (s *Server) Serve() {
 	s.setAccepting(true)
 	defer s.setAccepting(false)
@@ -183,47 +184,6 @@
 // acceptRetryDelay is the pause after a failed accept. It gives a connection that is being closed the time to end.
 const acceptRetryDelay = 5 * time.Millisecond
 
-// closeOneIdle closes an idle connection to free a descriptor for accept.
-func (s *Server) closeOneIdle() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.makeRoomLocked(false)
-}
-
-// countQuerying records that one more client has sent a query, and closes an idle connection if there are
-// more than maxQuerying of them. Clients may use only so many connections for requests, and some send one
-// query and never disconnect. Without this all those connections could be idle while no client with a request
-// can connect. The cost is that a client which keeps more connections than it uses has to connect again.
-func (s *Server) countQuerying() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.querying++; s.querying > s.maxQuerying {
-		s.makeRoomLocked(true)
-	}
-}
-
-// closeOldestIdleLocked closes the idle connection that is oldest among those without a query, or else the
-// one that has been idle longest. With queriedOnly it considers only connections that have sent a query. It
-// reports whether any connection is ending. The caller holds mu.
-//
-// Clients send a query as soon as they connect, so connections without one are closed first: otherwise
-// hundreds of clients that connect and send nothing could use up all connections. The cost is that a client
-// whose first query is still in transit while all connections are in use may lose its connection.
-func (s *Server) closeOldestIdleLocked(queriedOnly bool) (ending bool) {
-	var oldest *client
-	var since int64
-	for c := range s.clients {
-		switch idleSince, hasQueried := c.idleSince.Load(), c.hasQueried.Load(); {
-		case idleSince == idleClosing:
-			ending = true
-		case idleSince > 0 && (hasQueried || !queriedOnly) &&
-			(oldest == nil || hasQueried == oldest.hasQueried.Load() && idleSince < since || !hasQueried && oldest.hasQueried.Load()):
-			oldest, since = c, idleSince
-		}
-	}
-	return oldest != nil && oldest.closeIdle(since) || ending
-}
-
 // notifyChanged wakes the goroutines that wait for a connection to end.
 func (s *Server) notifyChanged() {
 	s.mu.Lock()
--- a/internal/frontend/read.go
+++ b/internal/frontend/read.go
@@ -51,11 +51,27 @@
 	}
 	n, err := c.fill(deadline)
 	c.stalledSince.Store(0)
+	if end := c.endIfChosen(n, busy); end != nil {
+		return end
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return c.handleReadDeadline(deadline)
+	}
+	if !wasWaiting { // otherwise the input to process next has been read before
+		c.readAt = c.server.dispatcher.Now()
+		c.seenAt.Store(c.readAt)
+	}
+	return err
+}
+
+// endIfChosen ends the connection, by the error that it returns, if it was chosen to make room and has read no bytes. If it
+// has read some, another one has to end instead.
+func (c *client) endIfChosen(n int, busy bool) error {
 	if c.evicted.Swap(false) {
 		if n == 0 && !busy && c.isMidMessage() {
 			return c.sendTooManyConnections()
 		}
-		c.server.notifyChanged() // another connection has to end instead of this one
+		c.server.notifyChanged()
 	}
 	if c.idleSince.Swap(0) == idleClosing {
 		if n == 0 {
@@ -63,16 +79,9 @@
 				return err
 			}
 		}
-		c.server.notifyChanged() // the query is served, so another connection has to end instead of this one
+		c.server.notifyChanged()
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return c.handleReadDeadline(deadline)
-	}
-	if !wasWaiting { // otherwise the input to process next has been read before
-		c.readAt = c.server.dispatcher.Now()
-		c.seenAt.Store(c.readAt)
-	}
-	return err
+	return nil
 }
 
 // maxReadAhead is how many bytes of a client's input are kept while its requests are in flight.
--- a/internal/frontend/room.go
+++ b/internal/frontend/room.go
@@ -24,6 +24,47 @@
 	return s.closeOldestIdleLocked(queriedOnly) || s.evictStalledLocked(queriedOnly)
 }
 
+// closeOneIdle closes an idle connection to free a descriptor for accept.
+func (s *Server) closeOneIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.makeRoomLocked(false)
+}
+
+// countQuerying records that one more client has sent a query, and closes an idle connection if there are
+// more than maxQuerying of them. Clients may use only so many connections for requests, and some send one
+// query and never disconnect. Without this all those connections could be idle while no client with a request
+// can connect. The cost is that a client which keeps more connections than it uses has to connect again.
+func (s *Server) countQuerying() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.querying++; s.querying > s.maxQuerying {
+		s.makeRoomLocked(true)
+	}
+}
+
+// closeOldestIdleLocked closes the idle connection that is oldest among those without a query, or else the
+// one that has been idle longest. With queriedOnly it considers only connections that have sent a query. It
+// reports whether any connection is ending. The caller holds mu.
+//
+// Clients send a query as soon as they connect, so connections without one are closed first: otherwise
+// hundreds of clients that connect and send nothing could use up all connections. The cost is that a client
+// whose first query is still in transit while all connections are in use may lose its connection.
+func (s *Server) closeOldestIdleLocked(queriedOnly bool) (ending bool) {
+	var oldest *client
+	var since int64
+	for c := range s.clients {
+		switch idleSince, hasQueried := c.idleSince.Load(), c.hasQueried.Load(); {
+		case idleSince == idleClosing:
+			ending = true
+		case idleSince > 0 && (hasQueried || !queriedOnly) &&
+			(oldest == nil || hasQueried == oldest.hasQueried.Load() && idleSince < since || !hasQueried && oldest.hasQueried.Load()):
+			oldest, since = c, idleSince
+		}
+	}
+	return oldest != nil && oldest.closeIdle(since) || ending
+}
+
 // evictStalledLocked makes the connection end that has been stalled longest, and reports whether any is ending for that
 // reason.
 func (s *Server) evictStalledLocked(queriedOnly bool) (ending bool) {
