--- a/internal/frontend/read.go
+++ b/internal/frontend/read.go
@@ -51,7 +51,7 @@
 	}
 	n, err := c.fill(deadline)
 	c.stalledSince.Store(0)
-	if end := c.endIfChosen(n, busy); end != nil {
+	if end := c.endIfEvicted(n, busy); end != nil {
 		return end
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -64,9 +64,9 @@
 	return err
 }
 
-// endIfChosen ends the connection, by the error that it returns, if it was chosen to make room and has read no bytes. If it
+// endIfEvicted ends the connection, by the error that it returns, if it has to make room and has read no bytes. If it
 // has read some, another one has to end instead.
-func (c *client) endIfChosen(n int, busy bool) error {
+func (c *client) endIfEvicted(n int, busy bool) error {
 	if c.evicted.Swap(false) {
 		if n == 0 && !busy && c.isMidMessage() {
 			return c.sendTooManyConnections()
--- a/internal/frontend/room_test.go
+++ b/internal/frontend/room_test.go
@@ -64,7 +64,7 @@
 	client.Expect(standin.RequestID(query))
 }
 
-// A connection that is chosen to make room as the rest of its message comes goes on.
+// A connection that is evicted as the rest of its message comes goes on.
 func TestRestOfMessageComesAsRoomIsNeeded(t *testing.T) {
 	s := newServerWithBudget(t, 1<<20)
 	client := connectAndQuery(t, s, "")
@@ -79,7 +79,7 @@
 	ending := s.evictStalledLocked(false)
 	s.mu.Unlock()
 	client.Expect(standin.RequestID(query))
-	t.Logf("chosen before its message was read: %v", ending)
+	t.Logf("evicted before its message was read: %v", ending)
 }
 
 // A query on a reserved connection waits for a regular one for a part of its time only, though connections are ending.
