--- /dev/null
+++ b/review/standin2/foreign.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+func init() { cases["7"] = foreignAnswer }
+
+// waits reports whether bytes wait on a connection of a node.
+func (c *nodeConn) waits() (waiting bool) {
+	if c.in.Buffered() > 0 {
+		return true
+	}
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		waiting = err != syscall.EAGAIN
+	})
+	return waiting
+}
+
+// foreignAnswer: a node sends the answer to a request twice, the second time right behind the first; the second one is taken
+// for the answer to the next request on that connection.
+func foreignAnswer(s *scene) int {
+	const copyShare = 0.02
+	var answers, copies atomic.Int64
+	var all []*node
+	valueOf := func(q query) string { return "of " + q.key }
+	for i := range 3 {
+		role, one := "copy", 0
+		if i == 0 {
+			role, one = "source", 1
+		}
+		n := s.newNode(fmt.Sprintf("s-%d", i), 1, func(c *nodeConn, q query) {
+			if q.write && i > 0 {
+				c.Write(answer{code: "25006", role: role}.bytes())
+				return
+			}
+			time.Sleep(25*time.Millisecond + rand.N(10*time.Millisecond))
+			a := answer{value: valueOf(q), role: role, tag: "SELECT 1"}
+			if q.write {
+				a.tag, a.asOf = "INSERT 0 1", time.Now().UnixMilli()+1
+			}
+			b := a.bytes()
+			c.Write(b)
+			answers.Add(1)
+			if s.trouble && rand.Float64() < copyShare && !c.waits() {
+				copies.Add(1)
+				c.Write(b)
+				s.note("node %d sent the answer to id=%s (%s) twice on its connection %d", i, q.id, q.key, c.number)
+			}
+		})
+		n.report = func() string {
+			return fmt.Sprintf("x0=%.3f,x1=%d,load_share=0.3", float64(time.Now().UnixMilli())/1000, one)
+		}
+		all = append(all, n)
+	}
+	d := s.newDiscovery(all...)
+	for _, n := range all { // the network of the site: 0.14 to 0.34 ms each way
+		d.entries[n.id]["addr"] = s.relay(n.address(), between(140*time.Microsecond, 340*time.Microsecond))
+	}
+	r := s.startRouter("n0", d, kyushu)
+	stop := time.Now().Add(60 * time.Second)
+	var running sync.WaitGroup
+	var served, foreign, other, lost atomic.Int64
+	for i := range 10 {
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			for time.Now().Before(stop) {
+				k, err := dialClient(r.address)
+				if err != nil {
+					time.Sleep(10 * time.Millisecond)
+					continue
+				}
+				for time.Now().Before(stop) {
+					time.Sleep(400*time.Microsecond + rand.N(2*time.Millisecond)) // the way to the client and back
+					key, id := fmt.Sprintf("%016x", rand.Uint64()), newID()
+					text := readStatement(key, id, "route-view", 1000, 1, "")
+					if i < 3 {
+						text = writeStatement(key, "01", id, "submit-reading", 2000, 1, ",k="+id)
+					}
+					if k.send(text) != nil {
+						break
+					}
+					got, err := k.receive(4 * time.Second)
+					if err != nil {
+						lost.Add(1)
+						break
+					}
+					switch {
+					case !got.served:
+						other.Add(1)
+						time.Sleep(20 * time.Millisecond)
+					case got.value == "of "+key:
+						served.Add(1)
+					default:
+						foreign.Add(1)
+						s.note("FOREIGN: id=%s asked for %s and was served with %q", id, key, got.value)
+					}
+				}
+				k.Close()
+			}
+		}()
+	}
+	running.Wait()
+	s.note("%d answers of nodes, %d of them sent twice; clients: %d served, %d refused or failed, %d without an answer, %d served with the value of another request",
+		answers.Load(), copies.Load(), served.Load(), other.Load(), lost.Load(), foreign.Load())
+	switch {
+	case foreign.Load() > 0:
+		return broken
+	case served.Load() < 1000:
+		return cannotRun
+	}
+	return held
+}
