review: case 9, a pushed list from a discovery that takes 1.2 s is never heard

Where lists are pushed, every call is given up after 1 s, so that a discovery that answers correctly after 1.2 s counts as down for good once the watch has been reset.

--- a/review/standin2/lib.go
+++ b/review/standin2/lib.go
@@ -260,10 +260,18 @@
 	address string
 	mu      sync.Mutex
 	version int
+	delay   time.Duration // before each response
 	entries map[string]map[string]any
 	order   []string
 	watches map[chan string]struct{}
-	written map[string]time.Time // when an entry's last change was written to a watch
+	ends    chan struct{} // closed to reset the watches
+	log     func(format string, args ...any)
+}
+
+// resetWatches ends all open watches; the caller holds the lock.
+func (d *discovery) resetWatches() {
+	close(d.ends)
+	d.ends = make(chan struct{})
 }
 
 func (s *scene) newDiscovery(nodes ...*node) *discovery {
@@ -272,7 +280,7 @@
 		s.fail("%v", err)
 	}
 	d := &discovery{address: l.Addr().String(), version: 7, entries: map[string]map[string]any{}, watches: map[chan string]struct{}{},
-		written: map[string]time.Time{}}
+		ends: make(chan struct{})}
 	for _, n := range nodes {
 		d.entries[n.id] = map[string]any{"id": n.id, "addr": n.address(), "zone": n.zone, "kind": "k", "cell": n.cell, "state": "up",
 			"weight": 1, "started_ms": 0}
@@ -315,6 +323,14 @@
 }
 
 func (d *discovery) serve(w http.ResponseWriter, r *http.Request) {
+	came := time.Now()
+	d.mu.Lock()
+	delay, ends := d.delay, d.ends
+	d.mu.Unlock()
+	time.Sleep(delay)
+	if d.log != nil {
+		d.log("discovery answers %s after %v; the caller has given up: %v", r.URL, time.Since(came).Round(time.Millisecond), r.Context().Err() != nil)
+	}
 	if r.FormValue("stream") != "1" {
 		io.WriteString(w, d.whole())
 		return
@@ -339,6 +355,8 @@
 			io.WriteString(w, line)
 		case <-time.After(2 * time.Second):
 			io.WriteString(w, "\n")
+		case <-ends:
+			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			return
 		}
