--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -34,6 +36,9 @@
 			os.RemoveAll(dir)
 		}
 	})
+	stops := make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGINT, syscall.SIGTERM)
+	go func() { s.fail("ended by %v", <-stops) }()
 	time.AfterFunc(longest, func() { s.fail("it took longer than %s", longest) })
 	s.note("case %s, trouble: %v", os.Args[1], s.trouble)
 	verdict := cases[os.Args[1]](s)
