--- a/review/standin2/foreign.go
+++ b/review/standin2/foreign.go
@@ -72,6 +72,10 @@
 	stop := time.Now().Add(70 * time.Second)
 	var running sync.WaitGroup
 	var served, foreign, other, lost atomic.Int64
+	s.eachSecond(func() string {
+		return fmt.Sprintf("so far: nodes ran and answered %d; clients: %d served, %d refused or failed, %d without an answer, %d served with another value",
+			answers.Load(), served.Load(), other.Load(), lost.Load(), foreign.Load())
+	})
 	for i := range 40 {
 		running.Add(1)
 		go func() {
--- a/review/standin2/lib.go
+++ b/review/standin2/lib.go
@@ -47,8 +47,21 @@
 	fmt.Fprintf(s.record, "%9.3f  %s\n", time.Since(s.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// at formats a time as the record does.
-func (s *scene) at(t time.Time) string { return fmt.Sprintf("%.3f", t.Sub(s.start).Seconds()) }
+// eachSecond writes what state returns to the record, once a second, until the end of the run.
+func (s *scene) eachSecond(state func() string) {
+	over := make(chan struct{})
+	s.onEnd(func() { close(over) })
+	go func() {
+		for {
+			select {
+			case <-over:
+				return
+			case <-time.After(time.Second):
+				s.note("%s", state())
+			}
+		}
+	}()
+}
 
 func (s *scene) onEnd(f func()) {
 	s.mu.Lock()
--- a/review/standin2/memory.go
+++ b/review/standin2/memory.go
@@ -107,6 +107,10 @@
 			}()
 		}
 	}
+	s.eachSecond(func() string {
+		peak, now := memory()
+		return fmt.Sprintf("so far: %d requests sent, %d served, %d refused or failed; %d kB resident, %d at the most", sent.Load(), served.Load(), other.Load(), now, peak)
+	})
 	end := time.Now().Add(30 * time.Second)
 	clients(80, 1, 300*time.Millisecond, end) // some 220 requests a second
 	time.Sleep(10 * time.Second)
--- a/review/standin2/slowlist.go
+++ b/review/standin2/slowlist.go
@@ -56,6 +56,9 @@
 	r := s.startRouter("n0", d, kyushu)
 	stop := time.Now().Add(35 * time.Second)
 	var running sync.WaitGroup
+	s.eachSecond(func() string {
+		return fmt.Sprintf("so far: %d requests served, %d not; %d came to the draining node too late", served.Load(), other.Load(), late.Load())
+	})
 	for i := range 8 {
 		running.Add(1)
 		go func() {
