--- a/review/standin2/foreign.go
+++ b/review/standin2/foreign.go
@@ -78,7 +78,7 @@
 	})
 	for i := range 40 {
 		running.Add(1)
-		go func() {
+		background.Go(func() {
 			defer running.Done()
 			for time.Now().Before(stop) {
 				k, err := dialClient(r.address)
@@ -114,7 +114,7 @@
 				}
 				k.Close()
 			}
-		}()
+		})
 	}
 	running.Wait()
 	s.note("%d answers of nodes, %d of them sent twice; clients: %d served, %d refused or failed, %d without an answer, %d served with the value of another request",
--- a/review/standin2/lib.go
+++ b/review/standin2/lib.go
@@ -30,6 +30,9 @@
 	cannotRun = 2
 )
 
+// background runs what goes on beside a case, up to the end of the process.
+var background sync.WaitGroup
+
 // scene is one run of a case: its record, its temporary folder, and what has to be ended.
 type scene struct {
 	trouble bool
@@ -51,7 +54,7 @@
 func (s *scene) eachSecond(state func() string) {
 	over := make(chan struct{})
 	s.onEnd(func() { close(over) })
-	go func() {
+	background.Go(func() {
 		for {
 			select {
 			case <-over:
@@ -60,7 +63,7 @@
 				s.note("%s", state())
 			}
 		}
-	}()
+	})
 }
 
 func (s *scene) onEnd(f func()) {
@@ -201,15 +204,16 @@
 	}
 	n := &node{id: id, zone: "z", cell: cell, listener: l, handle: handle, conns: map[*nodeConn]struct{}{}}
 	s.onEnd(func() { l.Close(); n.closeAll() })
-	go func() {
+	background.Go(func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go n.serve(&nodeConn{Conn: c, in: bufio.NewReader(c), number: int(n.opened.Add(1))})
+			conn := &nodeConn{Conn: c, in: bufio.NewReader(c), number: int(n.opened.Add(1))}
+			background.Go(func() { n.serve(conn) })
 		}
-	}()
+	})
 	return n
 }
 
@@ -300,7 +304,7 @@
 		d.order = append(d.order, n.id)
 	}
 	server := &http.Server{Handler: http.HandlerFunc(d.serve)}
-	go server.Serve(l)
+	background.Go(func() { server.Serve(l) })
 	s.onEnd(func() { server.Close() })
 	return d
 }
@@ -429,7 +433,7 @@
 	if err := r.cmd.Start(); err != nil {
 		s.fail("%v", err)
 	}
-	go func() { r.exitErr = r.cmd.Wait(); close(r.exited) }()
+	background.Go(func() { r.exitErr = r.cmd.Wait(); close(r.exited) })
 	s.onEnd(func() {
 		r.cmd.Process.Signal(syscall.SIGCONT)
 		r.cmd.Process.Kill()
--- a/review/standin2/memory.go
+++ b/review/standin2/memory.go
@@ -59,7 +59,7 @@
 	clients := func(count, commands int, pause time.Duration, stop time.Time) {
 		for range count {
 			running.Add(1)
-			go func() {
+			background.Go(func() {
 				defer running.Done()
 				time.Sleep(rand.N(pause))
 				for time.Now().Before(stop) {
@@ -104,7 +104,7 @@
 					}
 					k.Close()
 				}
-			}()
+			})
 		}
 	}
 	s.eachSecond(func() string {
--- a/review/standin2/relay.go
+++ b/review/standin2/relay.go
@@ -14,23 +14,23 @@
 		s.fail("%v", err)
 	}
 	s.onEnd(func() { l.Close() })
-	go func() {
+	background.Go(func() {
 		for {
 			near, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go func() {
+			background.Go(func() {
 				far, err := net.Dial("tcp", target)
 				if err != nil {
 					near.Close()
 					return
 				}
-				go pass(near, far, delay)
+				background.Go(func() { pass(near, far, delay) })
 				pass(far, near, delay)
-			}()
+			})
 		}
-	}()
+	})
 	return l.Addr().String()
 }
 
@@ -41,7 +41,7 @@
 
 func pass(from, to net.Conn, delay func() time.Duration) {
 	pieces := make(chan piece, 1000)
-	go func() {
+	background.Go(func() {
 		defer to.Close()
 		for p := range pieces {
 			time.Sleep(time.Until(p.at))
@@ -55,7 +55,7 @@
 				return
 			}
 		}
-	}()
+	})
 	defer close(pieces)
 	last := time.Time{}
 	for {
--- a/review/standin2/shutdown.go
+++ b/review/standin2/shutdown.go
@@ -100,7 +100,7 @@
 	}
 	time.Sleep(100 * time.Millisecond)
 	for i, k := range clients {
-		go func() {
+		background.Go(func() {
 			for n := 0; ; n++ {
 				got, err := k.receive(time.Minute)
 				mu.Lock()
@@ -116,7 +116,7 @@
 				}
 				mu.Unlock()
 			}
-		}()
+		})
 	}
 	termAt := time.Now()
 	r.cmd.Process.Signal(syscall.SIGTERM)
--- a/review/standin2/slowlist.go
+++ b/review/standin2/slowlist.go
@@ -61,7 +61,7 @@
 	})
 	for i := range 8 {
 		running.Add(1)
-		go func() {
+		background.Go(func() {
 			defer running.Done()
 			k, err := dialClient(r.address)
 			for ; time.Now().Before(stop); time.Sleep(time.Millisecond + rand.N(10*time.Millisecond)) {
@@ -84,7 +84,7 @@
 					other.Add(1)
 				}
 			}
-		}()
+		})
 	}
 	time.Sleep(5 * time.Second)
 	d.mu.Lock()
--- a/review/standin2/stale.go
+++ b/review/standin2/stale.go
@@ -163,7 +163,7 @@
 	var running sync.WaitGroup
 	for range 6 {
 		running.Add(1)
-		go func() {
+		background.Go(func() {
 			defer running.Done()
 			k, err := dialClient(r.address)
 			if err != nil {
@@ -183,7 +183,7 @@
 					return
 				}
 			}
-		}()
+		})
 	}
 	type result struct {
 		id     string
@@ -270,12 +270,12 @@
 				s.fail("%v", err)
 			}
 			wait.Add(1)
-			go func() {
+			background.Go(func() {
 				defer wait.Done()
 				defer k.Close()
 				time.Sleep(time.Duration(20+i) * time.Millisecond) // the write first
 				results[i] = askOver(k, i == 0)
-			}()
+			})
 		}
 		wait.Wait()
 		armed.Store(false)
