review: case 7 delays each piece at the node's end of the connection

With the relay a play without a single foreign value came up: it had read answer and copy as one piece.

--- a/review/standin2/foreign.go
+++ b/review/standin2/foreign.go
@@ -3,30 +3,16 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 )
 
 func init() { cases["7"] = foreignAnswer }
 
 // waits reports whether bytes wait on a connection of a node.
-func (c *nodeConn) waits() (waiting bool) {
-	if c.in.Buffered() > 0 {
-		return true
-	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return true
-	}
-	raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		waiting = err != syscall.EAGAIN
-	})
-	return waiting
-}
+func (c *nodeConn) waits() bool { return c.in.Buffered() > 0 || c.Conn.(*farConn).waits() }
 
 // foreignAnswer: a node sends the answer to a request twice, the second time right behind the first; the second one is taken
 // for the answer to the next request on that connection.
@@ -62,12 +48,11 @@
 		n.report = func() string {
 			return fmt.Sprintf("x0=%.3f,x1=%d,load_share=0.3", float64(time.Now().UnixMilli())/1000, one)
 		}
+		// The network between two sites: 2 ms each way, a fifth more or less.
+		n.network = func(c net.Conn) net.Conn { return newFarConn(c, between(1600*time.Microsecond, 2400*time.Microsecond)) }
 		all = append(all, n)
 	}
 	d := s.newDiscovery(all...)
-	for _, n := range all { // the network between two sites: 2 ms each way, a fifth more or less
-		d.entries[n.id]["addr"] = s.relay(n.address(), between(1600*time.Microsecond, 2400*time.Microsecond))
-	}
 	r := s.startRouter("n0", d, tender)
 	stop := time.Now().Add(70 * time.Second)
 	var running sync.WaitGroup
--- a/review/standin2/lib.go
+++ b/review/standin2/lib.go
@@ -184,7 +184,8 @@
 	listener net.Listener
 	onOpen   func(number int, c net.Conn) bool // called for a startup packet; false ends the connection
 	handle   func(c *nodeConn, q query)
-	report   func() string // the answer to SHOW vitals
+	report   func() string             // the answer to SHOW vitals
+	network  func(c net.Conn) net.Conn // if set, stands between
 	opened   atomic.Int64
 	mu       sync.Mutex
 	conns    map[*nodeConn]struct{}
@@ -210,6 +211,9 @@
 			if err != nil {
 				return
 			}
+			if n.network != nil {
+				c = n.network(c)
+			}
 			conn := &nodeConn{Conn: c, in: bufio.NewReader(c), number: int(n.opened.Add(1))}
 			background.Go(func() { n.serve(conn) })
 		}
--- a/review/standin2/relay.go
+++ b/review/standin2/relay.go
@@ -1,37 +1,20 @@
 package main
 
 import (
+	"io"
 	"math/rand/v2"
 	"net"
 	"time"
 )
 
-// relay stands for the network between the router and a node: what comes is passed on after a delay, in order and in the
-// pieces in which it came. It returns the address at which the router reaches the node.
-func (s *scene) relay(target string, delay func() time.Duration) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		s.fail("%v", err)
-	}
-	s.onEnd(func() { l.Close() })
-	background.Go(func() {
-		for {
-			near, err := l.Accept()
-			if err != nil {
-				return
-			}
-			background.Go(func() {
-				far, err := net.Dial("tcp", target)
-				if err != nil {
-					near.Close()
-					return
-				}
-				background.Go(func() { pass(near, far, delay) })
-				pass(far, near, delay)
-			})
-		}
-	})
-	return l.Addr().String()
+// farConn is a node's end of a connection over a network: each piece that is written, and each that comes, takes a time of its
+// own, in order.
+type farConn struct {
+	net.Conn
+	delay  func() time.Duration
+	come   chan []byte // has come over the network
+	rest   []byte
+	toSend chan piece
 }
 
 type piece struct {
@@ -39,41 +22,69 @@
 	at    time.Time
 }
 
-func pass(from, to net.Conn, delay func() time.Duration) {
-	pieces := make(chan piece, 1000)
-	background.Go(func() {
-		defer to.Close()
-		for p := range pieces {
-			time.Sleep(time.Until(p.at))
-			if p.bytes == nil {
-				return
-			}
-			if _, err := to.Write(p.bytes); err != nil {
-				from.Close()
-				for range pieces {
-				}
+func newFarConn(c net.Conn, delay func() time.Duration) *farConn {
+	f := &farConn{Conn: c, delay: delay, come: make(chan []byte, 1000), toSend: make(chan piece, 1000)}
+	onWay := make(chan piece, 1000)
+	background.Go(func() { // reads what the router sends
+		defer close(onWay)
+		last := time.Time{}
+		for {
+			b := make([]byte, 32<<10)
+			n, err := c.Read(b)
+			if err != nil {
 				return
 			}
+			last = later(last, time.Now().Add(delay()))
+			onWay <- piece{b[:n], last}
 		}
 	})
-	defer close(pieces)
-	last := time.Time{}
-	for {
-		b := make([]byte, 32<<10)
-		n, err := from.Read(b)
-		at := time.Now().Add(delay())
-		if at.Before(last) {
-			at = last
+	background.Go(func() {
+		defer close(f.come)
+		for p := range onWay {
+			time.Sleep(time.Until(p.at))
+			f.come <- p.bytes
 		}
-		last = at
-		if err != nil {
-			pieces <- piece{nil, at}
-			return
+	})
+	background.Go(func() {
+		last := time.Time{}
+		for p := range f.toSend {
+			last = later(last, p.at)
+			time.Sleep(time.Until(last))
+			c.Write(p.bytes)
+		}
+	})
+	return f
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func (f *farConn) Read(b []byte) (int, error) {
+	for len(f.rest) == 0 {
+		next, ok := <-f.come
+		if !ok {
+			return 0, io.EOF
 		}
-		pieces <- piece{b[:n], at}
+		f.rest = next
 	}
+	n := copy(b, f.rest)
+	f.rest = f.rest[n:]
+	return n, nil
 }
 
+// Write sends a piece, as one segment of its own.
+func (f *farConn) Write(b []byte) (int, error) {
+	f.toSend <- piece{append([]byte(nil), b...), time.Now().Add(f.delay())}
+	return len(b), nil
+}
+
+// waits reports whether something that has come waits to be read.
+func (f *farConn) waits() bool { return len(f.rest) > 0 || len(f.come) > 0 }
+
 // between returns a function that draws a time from a range.
 func between(low, high time.Duration) func() time.Duration {
 	return func() time.Duration { return low + rand.N(high-low+1) }
