upstream: a connection is used again once the node has answered an empty query

Cause: a connection counted as clean if nothing more had come when it was given away, which says nothing of what comes later.

Change: behind each answer the connection sends an empty query; it is idle once that is answered, and closed if anything else comes first. The answer to the empty query may come twice. The stand-in for a node answers session commands and empty queries as the protocol has it. The laboratory's test object may register cleanups from several goroutines, without which the measurement of pairs crashed.

--- a/internal/lab/bench/bench.go
+++ b/internal/lab/bench/bench.go
@@ -5,10 +5,14 @@
 	"log"
 	"os"
 	"slices"
+	"sync"
 )
 
 // TB ends the program at a failure that would end a test, logs other failures, and runs the cleanups in both cases.
-type TB struct{ cleanups []func() }
+type TB struct {
+	mu       sync.Mutex
+	cleanups []func()
+}
 
 // Helper does nothing.
 func (*TB) Helper() {}
@@ -26,8 +30,12 @@
 // Failed returns false, so that stand-ins print no logs at the end.
 func (*TB) Failed() bool { return false }
 
-// Cleanup registers a function that Close calls. The functions run in reverse order.
-func (b *TB) Cleanup(f func()) { b.cleanups = append(b.cleanups, f) }
+// Cleanup registers a function that Close calls; several goroutines may. The functions run in reverse order.
+func (b *TB) Cleanup(f func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cleanups = append(b.cleanups, f)
+}
 
 // TempDir creates a directory that Close removes.
 func (b *TB) TempDir() string {
--- a/internal/pg/answer.go
+++ b/internal/pg/answer.go
@@ -84,6 +84,9 @@
 	return nil
 }
 
+// HasBegun reports whether a message of the result has come, so more than what a node may send at any time.
+func (a *Answer) HasBegun() bool { return a.hasRowDescription || a.sqlState != "" }
+
 // cString returns the text of a body that is one zero-terminated string, and whether the body is that.
 func cString(body []byte) (text []byte, ok bool) {
 	zero := bytes.IndexByte(body, 0)
@@ -167,14 +170,23 @@
 
 // ProbeReport returns the report in the row that answers a probe.
 func (a *Answer) ProbeReport() balance.Report {
+	text := a.RowText()
+	if text == "" {
+		return balance.Report{}
+	}
+	return parseReport(text)
+}
+
+// RowText returns the value in the answer's row, or "" if there is none.
+func (a *Answer) RowText() string {
 	for start := 0; start+5 <= len(a.Value); {
 		size := int(binary.BigEndian.Uint32(a.Value[start+1:]))
 		if a.Value[start] == 'D' {
-			return parseReport(string(a.Value[start+11 : start+1+size]))
+			return string(a.Value[start+11 : start+1+size])
 		}
 		start += 1 + size
 	}
-	return balance.Report{}
+	return ""
 }
 
 // parseReport parses name=value pairs. Positions are in Unix seconds here, and are rounded down to whole
--- a/internal/pg/message.go
+++ b/internal/pg/message.go
@@ -174,6 +174,9 @@
 	return endMessage(b, start)
 }
 
+// AppendEmptyStatement appends an empty query, which has no effect at a node and is answered at once.
+func AppendEmptyStatement(b []byte) []byte { return append(b, 'Q', 0, 0, 0, 5, 0) }
+
 // AppendReportQuery appends the query that asks a node for its report.
 func AppendReportQuery(b []byte) []byte {
 	b, start := beginMessage(b, 'Q')
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -54,7 +54,10 @@
 	Handler             func(*pgproto3.Backend, net.Conn, string) // answers a statement; nil: answers with the node's role
 	SkipRecords         bool                                      // keeps no statements and executions, for load tests
 	Position            func() time.Time                          // time up to which its answers include every write; nil: now
-	RejectReplicaWrites bool                                      // a replica rejects writes with 25006, as PostgreSQL does, and records them in ReplicaWrites only
+	OnEmptyQuery        func()                                    // called before an empty query is answered; may be nil
+	RepeatsEmptyAnswers bool                                      // the answer to an empty query is sent twice, RepeatPause apart
+	RepeatPause         time.Duration
+	RejectReplicaWrites bool // a replica rejects writes with 25006, as PostgreSQL does, and records them in ReplicaWrites only
 
 	t             TB
 	mu            sync.Mutex
@@ -233,6 +236,9 @@
 			n.t.Errorf("a node received an unexpected %T message", message)
 			return
 		}
+		if n.answerSessionCommand(backend, query.String) {
+			continue
+		}
 		if query.String == "SHOW vitals" {
 			n.WithLock(func() { n.ProbeCount++ })
 			primary := map[string]int{"source": 1}[n.role()]
@@ -275,6 +281,37 @@
 	}
 }
 
+// answerSessionCommand answers a statement that has no effect, an empty one or a session command, at once. It reports whether
+// the statement is one.
+func (n *Node) answerSessionCommand(backend *pgproto3.Backend, query string) bool {
+	command, _, _ := strings.Cut(query, " ")
+	var answer pgproto3.BackendMessage
+	switch command {
+	case "":
+		if n.OnEmptyQuery != nil {
+			n.OnEmptyQuery()
+		}
+		answer = &pgproto3.EmptyQueryResponse{}
+	case "SET", "RESET", "DISCARD":
+		answer = &pgproto3.CommandComplete{CommandTag: []byte(command)}
+	default:
+		return false
+	}
+	sendEmptyAnswer(backend, answer)
+	if command == "" && n.RepeatsEmptyAnswers {
+		time.Sleep(n.RepeatPause)
+		sendEmptyAnswer(backend, answer)
+	}
+	return true
+}
+
+// sendEmptyAnswer sends the answer to a statement without effect.
+func sendEmptyAnswer(backend *pgproto3.Backend, answer pgproto3.BackendMessage) {
+	backend.Send(answer)
+	backend.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	backend.Flush()
+}
+
 // WithLock calls f with the node's lock held.
 func (n *Node) WithLock(f func()) {
 	n.mu.Lock()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,9 +27,12 @@
 	sock         net.Conn
 	in, out      *ring.Ring
 	idleSince    time.Time
-	current      *delivery // whose result has not been reported yet
-	closeReason  error     // for the log
-	localFailure bool      // it failed to open for lack of resources or time in this process, which says nothing about the node
+	current      *delivery    // whose result has not been reported yet
+	written      bool         // the last delivery has been written
+	closeReason  error        // for the log
+	barrier      emptyAnswers // those to the last barrier
+	barrierEnds  time.Time    // when the answer to the last barrier counts as missing
+	localFailure bool         // it failed to open for lack of resources or time in this process, which says nothing about the node
 
 	// Guarded by the pool's lock.
 	next      *delivery
@@ -81,10 +85,28 @@
 		if !c.deliver(d) {
 			return
 		}
-		if d = c.waitIdle(); d != nil && c.resendIfRetired(d) {
-			return
+		d = c.awaitNext()
+	}
+}
+
+// awaitNext proves the connection clean and waits for the next delivery on it. It returns nil if the connection is to end.
+func (c *conn) awaitNext() *delivery {
+	if c.written {
+		next, clean := c.passBarrier()
+		switch {
+		case next != nil && !clean:
+			next.startedAt = time.Now() // the wait for the barrier does not count towards the connect timeout
+			c.resend(next)
+			return nil
+		case next != nil || !clean:
+			return next
 		}
 	}
+	d := c.waitIdle()
+	if d != nil && c.resendIfRetired(d) {
+		return nil
+	}
+	return d
 }
 
 // nodeMoved reports whether the node's address has changed since the connection was started. Another node may
@@ -192,6 +214,7 @@
 func (c *conn) deliver(d *delivery) bool {
 	c.current = d
 	outcome, answer := c.exchange(d)
+	c.written = outcome != balance.NotSent
 	// The connection is reusable if the answer is complete, or nothing was sent, and there are no excess
 	// bytes: these must never be taken for the answer to the next request.
 	if (answer.Ready || outcome == balance.NotSent) && c.in.Len() == 0 {
@@ -242,6 +265,8 @@
 		case err != nil:
 		case kind == 0:
 			err = c.readMore(size, d.deadline)
+		case !answer.HasBegun() && c.barrier.add(kind):
+			c.in.Discard(size)
 		default:
 			err = answer.Add(kind, body)
 			if c.in.Discard(size); answer.Ready && err == nil {
@@ -320,8 +345,7 @@
 		}
 	}
 	c.closeReason = err
-	// A delivery interrupts the read before it has looked for bytes that the node may have sent unasked.
-	unclean := !errors.Is(err, os.ErrDeadlineExceeded) || c.in.Len() > 0 || ring.HasPending(c.sock)
+	unclean := !errors.Is(err, os.ErrDeadlineExceeded) || !c.readUnasked()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	d := c.next
@@ -329,24 +353,39 @@
 		c.retired = c.retired || unclean // it ended just as it was given the delivery
 		return d
 	}
-	for i, idle := range c.node.idle {
-		if idle == c {
-			c.node.idle = append(c.node.idle[:i], c.node.idle[i+1:]...)
-			break
+	c.node.idle = without(c.node.idle, c)
+	return nil
+}
+
+// readUnasked reads what the node has sent unasked when a delivery has interrupted the read of an idle connection, which may
+// have been before it looked. It reports whether the connection can be used.
+func (c *conn) readUnasked() bool {
+	for ring.HasPending(c.sock) {
+		c.sock.SetReadDeadline(time.Now().Add(finalReadTimeout))
+		if _, err := c.in.Fill(c.sock); err != nil || c.readIdleMessages() != nil {
+			return false
 		}
 	}
-	return nil
+	return c.in.Len() == 0
 }
 
-// readIdleMessages discards the messages that a node may send unasked, ParameterStatus and NoticeResponse.
-// Any other is an error.
+// without returns a list of connections without one of them. It changes the list in place.
+func without(conns []*conn, ended *conn) []*conn {
+	if i := slices.Index(conns, ended); i >= 0 {
+		return slices.Delete(conns, i, i+1)
+	}
+	return conns
+}
+
+// readIdleMessages discards the messages that a node may send unasked, ParameterStatus and NoticeResponse, and further
+// answers to the last barrier. Any other is an error.
 func (c *conn) readIdleMessages() error {
 	for {
 		kind, _, size, err := pg.PeekMessage(c.in)
 		if err != nil || kind == 0 && size <= ring.InitialSize {
 			return err
 		}
-		if kind != 'S' && kind != 'N' {
+		if !isAsynchronous(kind) && !c.barrier.add(kind) {
 			return pg.ErrMalformed
 		}
 		c.in.Discard(size)
@@ -359,14 +398,18 @@
 	c.pool.mu.Lock()
 	retired := c.retired
 	c.pool.mu.Unlock()
-	if !retired {
-		return false
+	if retired {
+		c.resend(d)
 	}
+	return retired
+}
+
+// resend closes the connection and starts a delivery, of which nothing has been written, on a new one.
+func (c *conn) resend(d *delivery) {
 	c.close()
 	if d.isAborted() { // no connection is opened for a delivery that nobody waits for
 		c.finish(d, balance.NotSent, &pg.Answer{})
 	} else {
 		c.pool.start(d, true)
 	}
-	return true
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,6 +39,8 @@
 type node struct {
 	name, address string
 	idle          []*conn // the most recently used last
+	inBarrier     []*conn // behind a barrier, soon to be idle; the longest there first
+	failsBarriers bool    // the last barrier that ended was not answered as it should be
 }
 
 // Limits are the resources that connections to nodes may use.
@@ -107,9 +110,9 @@
 	p.nodes[number].closeIdle()
 }
 
-// closeIdle makes the goroutines of idle connections close them.
+// closeIdle makes the goroutines of idle connections close them, and of those that are behind a barrier.
 func (n *node) closeIdle() {
-	for _, c := range n.idle {
+	for _, c := range slices.Concat(n.idle, n.inBarrier) {
 		c.retired = true
 		c.interruptRead()
 	}
@@ -175,8 +178,8 @@
 		}}, false)
 }
 
-// start passes a delivery to the most recently used idle connection. Without one, or if fresh is set, it
-// opens a connection.
+// start passes a delivery to the most recently used idle connection, or else to one that will be idle soon. Without
+// one, or if fresh is set, it opens a connection.
 func (p *Pool) start(d *delivery, fresh bool) {
 	p.mu.Lock()
 	n := p.nodes[d.node]
@@ -188,6 +191,12 @@
 		p.mu.Unlock()
 		return
 	}
+	if c := n.soonIdle(); c != nil && !fresh {
+		c.next = d
+		d.attach(c.sock, earlier(c.barrierEnds, d.deadline)) // under the lock, so that it cannot override a later deadline
+		p.mu.Unlock()
+		return
+	}
 	name, address := n.name, n.address
 	if p.open >= p.maxOpen && !p.closeOldestIdleLocked() {
 		p.mu.Unlock()
@@ -202,20 +211,20 @@
 	recovery.Go(p.log, "node connection", func() { c.serve(d) }, nil)
 }
 
-// closeOldestIdleLocked closes the connection that has been idle longest, and reports whether there was one.
-// The caller holds mu.
+// closeOldestIdleLocked closes the connection that has been idle longest, or else one that is behind a barrier, and
+// reports whether there was one. The caller holds mu.
 func (p *Pool) closeOldestIdleLocked() bool {
-	var oldest *node
+	var c *conn
 	for _, n := range p.nodes {
-		if len(n.idle) > 0 && (oldest == nil || n.idle[0].idleSince.Before(oldest.idle[0].idleSince)) {
-			oldest = n
+		if len(n.idle) > 0 && (c == nil || n.idle[0].idleSince.Before(c.idleSince)) {
+			c = n.idle[0]
 		}
 	}
-	if oldest == nil {
+	if c != nil {
+		c.node.idle = without(c.node.idle, c)
+	} else if c = p.oldestInBarrier(); c == nil {
 		return false
 	}
-	c := oldest.idle[0]
-	oldest.idle = oldest.idle[1:]
 	c.retired = true
 	c.interruptRead()
 	p.open-- // counts as closed from now on
@@ -223,6 +232,16 @@
 	return true
 }
 
+// oldestInBarrier returns a connection that is behind a barrier and has no further use, or nil. The caller holds mu.
+func (p *Pool) oldestInBarrier() *conn {
+	for _, n := range p.nodes {
+		if i := slices.IndexFunc(n.inBarrier, (*conn).isUnassigned); i >= 0 {
+			return n.inBarrier[i]
+		}
+	}
+	return nil
+}
+
 // CloseOldestIdle closes the connection that has been idle longest, to free a descriptor, and reports whether
 // there was one.
 func (p *Pool) CloseOldestIdle() bool {
@@ -240,6 +259,14 @@
 	}
 }
 
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func (d *delivery) finish(result request.Result) {
 	result.Took = int64(time.Since(d.startedAt))
 	d.done(result)
