service: all requests are given up before SIGKILL may come behind a stop signal

Cause: answers are written in the order of a client's queries, and nothing ended the requests in hand before the moment in which SIGKILL may come.

A query that waits for its place when the server closes is rejected then.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -155,6 +155,10 @@
 	req.randomDraw = r.draw()
 	r.meanRequestWork += slowAverageWeight * (r.classes[class].meanTime - r.meanRequestWork)
 	r.meanIdleTime += slowAverageWeight * (r.classes[class].idleTime - r.meanIdleTime)
+	if r.stopped {
+		r.finish(req, 0, Stopping)
+		return
+	}
 	req.session, req.isRetry, req.minPosition = session.ID, session.IsRetry, r.sessionMinPosition(&r.classes[class], session, now)
 	r.dispatch(req, now)
 }
@@ -205,6 +209,11 @@
 	if req.finished || req.inFlight > 0 && now < req.deadline {
 		return
 	}
+	r.finish(req, retryAfter, reason)
+}
+
+// finish gives a request its final answer.
+func (r *Router) finish(req *request, retryAfter int64, reason Reason) {
 	if req.finished, retryAfter = true, max(retryAfter, req.terms.MinRetryAfter); req.terms.MaxRetryAfter > 0 {
 		retryAfter = min(retryAfter, req.terms.MaxRetryAfter)
 	}
@@ -226,6 +235,18 @@
 	r.giveUp(req, now, 0, Expired)
 }
 
+// Stop gives up all requests in progress, though attempts may still bring answers, and each one that is accepted from now on.
+// It is for a process that will be killed soon.
+func (r *Router) Stop() {
+	r.stopped = true
+	for i := range r.requests {
+		if req := &r.requests[i]; req.live && !req.finished {
+			req.parked = false
+			r.finish(req, 0, Stopping)
+		}
+	}
+}
+
 // ClientLeft records that the request's client has disconnected: no answer is needed any more.
 func (r *Router) ClientLeft(slot Slot) {
 	r.requests[slot].finished = true
--- a/balance/reason.go
+++ b/balance/reason.go
@@ -14,12 +14,13 @@
 	NotGranted                  // the retry budget of its route is spent, or the node is outside the zone that retries are bound to
 	NotRetryable                // its terms allow no retry after such an outcome, or a retry after the pause would be too late
 	Expired                     // its deadline has passed, and no outcome of its attempt was reported
+	Stopping                    // the process is about to end
 
-	ReasonCount = int(Expired) + 1
+	ReasonCount = int(Stopping) + 1
 )
 
 var reasonNames = [ReasonCount]string{"too late", "no attempt left", "replicas full", "primary full", "no primary", "list too old",
-	"not granted", "not repeated", "expired"}
+	"not granted", "not repeated", "expired", "stopping"}
 
 // String returns the reason's name in logs.
 func (r Reason) String() string { return reasonNames[r] }
--- a/balance/state.go
+++ b/balance/state.go
@@ -26,6 +26,7 @@
 	probesEnabled                  bool
 	nodesCheckFreshness            bool
 	listOnRequest                  bool
+	stopped                        bool  // no request is sent any more
 	fullList                       bool  // the list update in progress is a full list
 	sweepInterval                  int64 // time between sweeps, which are calls of OnTimer, while there are requests
 	positionRefresh                int64 // age of a replica's last report at which reads cause a probe of it
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -179,6 +179,13 @@
 	return d.router.NodeAdmits(d.Now(), node)
 }
 
+// Stop gives up all requests in flight, and each one that arrives from now on.
+func (d *Dispatcher) Stop() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.router.Stop()
+}
+
 // PeerMessageReceived passes on a message from another router.
 func (d *Dispatcher) PeerMessageReceived(from int, payload []byte) {
 	d.mu.Lock()
--- a/internal/frontend/query.go
+++ b/internal/frontend/query.go
@@ -40,13 +40,16 @@
 	if fault != "" {
 		return c.replyError(pg.InvalidParameter, fault)
 	}
-	if c.server.rejectsNew.Load() { // the client retries at another router
-		return c.reply(pg.AppendReadyForQuery(pg.AppendRejection(nil, "")))
+	if c.server.rejectsNew.Load() {
+		return c.rejectAsClosed()
 	}
 	if c.reserved && !c.server.awaitRegularSlot(c.slotWait(statement, req)) {
 		return c.sendTooManyConnections()
 	}
 	c.reserved = false
+	if c.server.rejectsNew.Load() { // closed while the query waited for its place
+		return c.rejectAsClosed()
+	}
 	if c.hasGone(startedAt) { // no attempt is sent for it
 		return io.EOF
 	}
@@ -63,6 +66,11 @@
 	return startedAt
 }
 
+// rejectAsClosed rejects a query as the server is closed. The client may retry it at another router at once.
+func (c *client) rejectAsClosed() error {
+	return c.reply(pg.AppendReadyForQuery(pg.AppendRejection(nil, "")))
+}
+
 // rejectForMemory rejects a query as there is no memory for it.
 func (c *client) rejectForMemory(policy *dispatch.Policy) error {
 	retryAfter := retryAfterMillis(policy.Settings.MaxRetryAfter)
--- a/internal/frontend/room.go
+++ b/internal/frontend/room.go
@@ -95,12 +95,12 @@
 }
 
 // awaitRegularSlot reports whether a reserved connection can be a regular one by now. It makes room, and waits for
-// connections to end, for so long at most.
+// connections to end, for so long at most. It returns at once when the server is closed.
 func (s *Server) awaitRegularSlot(timeout time.Duration) bool {
 	until := time.Now().Add(timeout)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for len(s.clients) > s.maxClients {
+	for len(s.clients) > s.maxClients && !s.closed {
 		if !s.makeRoomLocked(false) || !time.Now().Before(until) {
 			return false
 		}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -35,13 +35,6 @@
 	Gone      Phase = "gone"
 )
 
-// Planned restarts, as in the protocol documentation: connections may still arrive for up to 0.4 s after the
-// stop signal, and requests that arrive within 0.7 s have to be answered.
-const (
-	acceptGrace = 400 * time.Millisecond
-	answerGrace = 700 * time.Millisecond
-)
-
 // Service is one router process.
 type Service struct {
 	log           *zap.Logger
@@ -144,6 +137,7 @@
 	stop := waitInPhase(s, s.timestampStop(stops))
 	s.enterPhase(Leaving, zap.Stringer("signal", stop.signal), zap.Int("clients", s.frontend.ClientCount()),
 		zap.Int("in hand", s.dispatcher.InFlight()))
+	s.scheduleFinalAnswers(stop.at)
 	recovery.Run(s.log, "leave", func() { s.leave(stop.at) }, nil)
 	s.enterPhase(Finishing, zap.Int("clients", s.frontend.ClientCount()), zap.Int("in hand", s.dispatcher.InFlight()))
 	recovery.Run(s.log, "finish", s.finish, nil)
@@ -243,40 +237,3 @@
 	}, nil)
 	return received
 }
-
-// leave keeps accepting while new connections may arrive, then drains the clients as they become idle, and
-// finally closes the listener. Each step happens at its time after the stop signal, even while a
-// configuration is being applied.
-func (s *Service) leave(stoppedAt time.Time) {
-	drain := recovery.AfterFunc(s.log, "drain", time.Until(stoppedAt.Add(acceptGrace)), s.frontend.Drain)
-	defer drain.Stop()
-	closed := make(chan struct{})
-	recovery.AfterFunc(s.log, "close", time.Until(stoppedAt.Add(answerGrace)), func() {
-		defer close(closed)
-		s.frontend.Close()
-	})
-	waitInPhase(s, closed)
-}
-
-// finish waits for the requests in progress, each of which ends by its deadline, and then stops all tasks.
-func (s *Service) finish() {
-	s.frontend.Close() // needed if leave panicked
-	answered := make(chan struct{})
-	recovery.Go(s.log, "finish", func() {
-		defer close(answered)
-		s.frontend.Wait()
-	}, nil)
-	waitInPhase(s, answered)
-	close(s.stop)
-	s.listClient.Close()
-	if s.plannerLinks != nil {
-		s.plannerLinks.Close()
-	}
-	if s.member != nil {
-		s.member.Leave() // only after its last attempt has ended: until then others must count it as sending
-		s.member.Close()
-	}
-	s.setPeerMessages(false)
-	s.nodes.CloseAllIdle()
-	s.tasks.Wait()
-}
