--- a/cmd/sedgestream/secondcopies_test.go
+++ b/cmd/sedgestream/secondcopies_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"fmt"
 	"os"
 	"strings"
 	"sync"
@@ -93,8 +92,8 @@
 			}
 		}
 	}
-	t.Log(fmt.Sprintf("%d served, %d rejected or failed, %d served with the value of another request, %d ran twice",
-		served.Load(), other.Load(), foreign.Load(), twice))
+	t.Logf("%d served, %d rejected or failed, %d served with the value of another request, %d ran twice",
+		served.Load(), other.Load(), foreign.Load(), twice)
 	if foreign.Load() > 0 || twice > 0 {
 		t.Errorf("%d requests were served with the value of another one, and %d ran twice", foreign.Load(), twice)
 	}
--- a/internal/pg/statement.go
+++ b/internal/pg/statement.go
@@ -29,7 +29,7 @@
 // Errors of ParseStatement. Their texts are sent to the client.
 var (
 	errStatementForm = errors.New("want SELECT body FROM objects WHERE oid = '...' or INSERT INTO objects (oid, body) VALUES ('...', '...') RETURNING body, with a comment")
-	errComment       = errors.New("the comment wants id, c, d and cluster, each once and in its form")
+	errComment       = errors.New("the comment wants id, c, d and cluster, each once and in its form, and 64 pairs at most")
 )
 
 const (
@@ -38,22 +38,31 @@
 	returningClause = "RETURNING body"
 )
 
-// ParseStatement parses the text of a query and keeps a copy of it.
+// maxCommentPairs is how many pairs a comment may have. Far fewer have a meaning; without a bound, comments of very many
+// short pairs would take the processor time of others.
+const maxCommentPairs = 64
+
+// ParseStatement parses the text of a query and keeps a copy of it, if it is valid.
 func ParseStatement(text []byte) (*Statement, error) {
 	text = bytes.TrimRight(text, " \t\r\n;")
 	comment := bytes.LastIndex(text, []byte("/*"))
 	if comment < 0 || !bytes.HasSuffix(text, []byte("*/")) || comment+4 > len(text) {
 		return nil, errStatementForm
 	}
-	s := &Statement{text: bytes.Clone(text)}
+	s := &Statement{text: text}
 	object, ok := s.parseForm(s.text[:comment])
 	if !ok {
 		return nil, errStatementForm
 	}
-	s.ObjectID = object
 	if !s.parseComment(comment+2, len(s.text)-2) {
 		return nil, errComment
 	}
+	s.text = bytes.Clone(text)
+	objectStart := len(selectPrefix)
+	if s.Write {
+		objectStart = len(insertPrefix)
+	}
+	s.ObjectID = s.text[objectStart : objectStart+len(object)]
 	return s, nil
 }
 
@@ -87,7 +96,10 @@
 // whether they are complete and valid.
 func (s *Statement) parseComment(start, end int) bool {
 	var hasTimeout, hasGroup bool
-	for at := start; at < end; {
+	for at, pairs := start, 1; at < end; pairs++ {
+		if pairs > maxCommentPairs {
+			return false
+		}
 		next := end
 		if comma := bytes.IndexByte(s.text[at:end], ','); comma >= 0 {
 			next = at + comma
--- a/internal/service/startup.go
+++ b/internal/service/startup.go
@@ -2,11 +2,8 @@
 
 import (
 	"fmt"
-	"math"
 	"net"
 	"os"
-	"runtime"
-	"runtime/debug"
 	"time"
 
 	"go.uber.org/zap"
@@ -31,7 +28,6 @@
 	reservedDescriptors  = 16
 	clientsShare         = 0.5     // of the shared descriptors
 	queryingClientsShare = 1.0 / 3 // of all descriptors, for clients that have sent a query: the limit of the platform documentation
-	heapShare            = 0.8     // of the memory, as the runtime's memory limit
 	largeValuesShare     = 0.3     // of the heap
 	requestsShare        = 0.15    // of the heap, for all requests in hand
 )
@@ -73,14 +69,6 @@
 	return nil
 }
 
-// limitRuntime limits the Go runtime to the configured cores and memory, and returns the size of the heap.
-func limitRuntime(config *Config) (heap int64) {
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(config.Cores))))
-	heap = int64(heapShare * float64(config.Memory))
-	debug.SetMemoryLimit(heap)
-	return heap
-}
-
 // divideResources divides descriptors and memory among clients and nodes.
 func divideResources(config *Config, heap int64) resourceLimits {
 	available := descriptors.Available(config.Descriptors)
