frontend: an id is taken until no attempt of its request is in flight

Cause: the id was free as soon as its client had left or was answered, though attempts were in flight.

--- a/internal/dispatch/actions.go
+++ b/internal/dispatch/actions.go
@@ -88,6 +88,7 @@
 // FreeSlot implements balance.Actions.
 func (d *Dispatcher) FreeSlot(index balance.Slot) {
 	d.post(index, nil)
+	d.slots[index].freed = true
 	d.slots[index].termsState.Release()
 	d.inFlight--
 }
--- a/internal/dispatch/handle.go
+++ b/internal/dispatch/handle.go
@@ -50,6 +50,7 @@
 	attemptNodes []int // the node of each attempt, while there is a load meter
 	termsState   terms.Admission
 	done         bool // the request has its final answer, or nobody waits for it
+	freed        bool // it is done, and none of its attempts is in flight
 	mailbox      chan func()
 }
 
@@ -61,6 +62,7 @@
 	serial     uint64
 	mailbox    chan func()
 	panicked   func(p any)
+	mayHaveRun bool // an attempt has ended that ran or may have; guarded by the dispatcher's lock
 }
 
 // route returns the route whose terms apply to the request, or nil.
@@ -120,7 +122,7 @@
 	d.stalls.recordEvent(now, true)
 	d.router.Accept(now, index, request.Policy.classIDs[request.Class], request.Group, s.termsState.Timeout, request.session(),
 		&s.termsState.Terms)
-	return &RequestHandle{d, index, d.lastSerial, mailbox, callbacks.Panicked}
+	return &RequestHandle{dispatcher: d, slot: index, serial: d.lastSerial, mailbox: mailbox, panicked: callbacks.Panicked}
 }
 
 // AttemptEnded passes on the outcome of an attempt, and reports whether its answer is the one for the client.
@@ -133,6 +135,7 @@
 	s := &d.slots[h.slot]
 	serve = outcome == balance.Succeeded && !s.done
 	s.done = s.done || serve
+	h.mayHaveRun = h.mayHaveRun || outcome == balance.Succeeded || outcome > balance.NotSent
 	s.termsState.AttemptEnded(outcome, took)
 	d.trace.attemptEnded(s, attempt, outcome, took, info)
 	if d.loadMeter != nil {
@@ -176,6 +179,23 @@
 	return s.serial != h.serial || s.done
 }
 
+// IsFreed reports whether the request is over and none of its attempts is in flight.
+func (h *RequestHandle) IsFreed() bool {
+	d := h.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := &d.slots[h.slot]
+	return s.serial != h.serial || s.freed
+}
+
+// MayHaveRun reports whether an attempt of the request has ended that ran or may have.
+func (h *RequestHandle) MayHaveRun() bool {
+	d := h.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return h.mayHaveRun
+}
+
 // Post queues a callback that handles the end of one of the request's attempts.
 func (h *RequestHandle) Post(callback func()) { h.mailbox <- callback }
 
--- a/internal/frontend/admission_test.go
+++ b/internal/frontend/admission_test.go
@@ -97,8 +97,8 @@
 	standin.WaitFor(t, "no client", func() bool { return s.ClientCount() == 0 })
 	answerAll()
 	standin.WaitFor(t, "all memory to be returned", func() bool { return memoryInHand(s) == 0 })
-	if len(s.openIDs) != 0 {
-		t.Errorf("%d ids are still open", len(s.openIDs))
+	if open := s.ids.openCount(); open != 0 {
+		t.Errorf("%d ids are still open", open)
 	}
 }
 
@@ -136,8 +136,8 @@
 	standin.WaitFor(t, "the request to end", func() bool { return s.dispatcher.InFlight() == 0 && memoryInHand(s) == 0 })
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.openIDs) != 0 {
-		t.Errorf("%d ids are still open", len(s.openIDs))
+	if open := s.ids.openCount(); open != 0 {
+		t.Errorf("%d ids are still open", open)
 	}
 }
 
--- a/internal/frontend/answers.go
+++ b/internal/frontend/answers.go
@@ -26,7 +26,10 @@
 
 	followsAnswers bool // its query was read when no other was without an answer
 
-	isCanceled atomic.Bool // by a cancel request
+	repeatable  bool        // the request may run any number of times
+	idReleased  atomic.Bool // the claim on the id has ended
+	isAbandoned atomic.Bool // its client has left without an answer
+	isCanceled  atomic.Bool // by a cancel request
 }
 
 // unbudgetedWriteTimeout is how long a client may take to read an answer for whose memory the budget has nothing left.
@@ -103,7 +106,7 @@
 	if c.gone || a.parts != nil {
 		return
 	}
-	c.server.releaseID(a.id)
+	a.releaseIDIfEnded()
 	if a.parts = parts; c.writing || a != c.pending[0] {
 		a.reserveMemory()
 		return
--- a/internal/frontend/cancel_test.go
+++ b/internal/frontend/cancel_test.go
@@ -183,10 +183,11 @@
 		<-canceled
 	}
 	standin.WaitFor(t, "all to end", func() bool { return s.ClientCount() == 0 && s.dispatcher.InFlight() == 0 })
+	standin.WaitFor(t, "the ids to be released", func() bool { return s.ids.openCount() == 0 }) // by the requests' goroutines
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.openIDs) > 0 || len(s.keys.clients) > 0 {
-		t.Errorf("%d ids and %d keys are left", len(s.openIDs), len(s.keys.clients))
+	if len(s.keys.clients) > 0 {
+		t.Errorf("%d keys are left", len(s.keys.clients))
 	}
 }
 
--- a/internal/frontend/client.go
+++ b/internal/frontend/client.go
@@ -206,8 +206,8 @@
 		c.server.budget.Release(answer.budgetBytes)
 		answer.releaseMemory()
 		if answer.parts == nil && answer.handle != nil {
+			answer.isAbandoned.Store(true)
 			answer.handle.ClientLeft()
-			c.server.releaseID(answer.id)
 		}
 	}
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -28,6 +28,7 @@
 	listener   net.Listener
 	budget     *ring.Budget
 	keys       cancelKeys
+	ids        *requestIDs
 
 	admissionMu sync.Mutex
 	admission   *admission.Memory // of all requests in hand
@@ -39,7 +40,6 @@
 	mu             sync.Mutex
 	clientsChanged *sync.Cond // signals changes of clients, accepting and closed
 	clients        map[*client]struct{}
-	openIDs        map[string]struct{} // of requests that are not answered yet
 	maxClients     int
 	maxReserved    int  // connections beyond maxClients, on which queries are rejected
 	querying       int  // connections that have sent a query
@@ -75,7 +75,7 @@
 func New(l net.Listener, d *dispatch.Dispatcher, pool *upstream.Pool, limits Limits, log *zap.Logger) *Server {
 	s := &Server{dispatcher: d, pool: pool, log: log, listener: l, budget: limits.Budget,
 		admission: admission.NewMemory(limits.RequestMemory),
-		clients:   map[*client]struct{}{}, openIDs: map[string]struct{}{}}
+		clients:   map[*client]struct{}{}, ids: newRequestIDs()}
 	s.maxReserved = max(1, int(reservedShare*float64(limits.Connections)))
 	s.maxClients = max(1, limits.Connections-s.maxReserved)
 	s.maxQuerying = max(1, int((1-reservedShare)*float64(limits.QueryingConnections)))
@@ -275,23 +275,6 @@
 	return len(s.clients)
 }
 
-// claimID registers a request's id, and returns false if a request in flight already has it.
-func (s *Server) claimID(id string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	_, taken := s.openIDs[id]
-	if !taken {
-		s.openIDs[id] = struct{}{}
-	}
-	return !taken
-}
-
-func (s *Server) releaseID(id string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.openIDs, id)
-}
-
 func newClient(s *Server, sock net.Conn) *client {
 	return &client{
 		server:           s,
--- a/internal/frontend/query.go
+++ b/internal/frontend/query.go
@@ -89,9 +89,9 @@
 	default:
 		return c.rejectForMemory(req.Policy)
 	}
-	if !c.server.claimID(statement.ID) {
+	if !c.server.ids.claim(statement.ID) {
 		c.server.releaseMemory(memory)
-		return c.replyError(pg.InvalidParameter, "a query with this id is open already")
+		return c.replyError(pg.InvalidParameter, "a query with this id is open already, or may have run")
 	}
 	c.startRequest(statement, req, memory)
 	return nil
@@ -132,6 +132,7 @@
 func (c *client) startRequest(statement *pg.Statement, req dispatch.Request, memory int64) {
 	req.Timeout = c.remainingTime(statement, req)
 	answer := &pendingAnswer{client: c, id: statement.ID, memoryBytes: memory}
+	answer.repeatable = req.Policy.Settings.Classes[req.Class].RetrySafety == balance.Idempotent
 	answer.memoryUsers.Store(memoryUsers)
 	answer.handle = request.Start(c.server.dispatcher, req, answer,
 		upstream.Sender{Pool: c.server.pool, Statement: statement, IsWanted: answer.isWanted})
@@ -146,6 +147,7 @@
 	// handle.
 	run := func() {
 		defer answer.releaseMemory()
+		defer answer.releaseID()
 		answer.handle.Run()
 	}
 	recovery.Go(c.server.log, "request", run, answer.Failed)
@@ -241,9 +243,9 @@
 	defer c.mu.Unlock()
 	wasEnding = c.idleSince.Swap(0) == idleClosing
 	if c.gone { // seen by an attempt, and not yet by the connection's goroutine
+		a.isAbandoned.Store(true)
 		a.handle.ClientLeft()
 		a.releaseMemory()
-		c.server.releaseID(a.id)
 		return wasEnding
 	}
 	a.followsAnswers = !slices.ContainsFunc(c.pending, func(earlier *pendingAnswer) bool { return earlier.parts == nil })
