upstream: a connection whose barrier is late stays open, and shows the node's role

Change: a barrier that is late keeps its connection open for as long as an idle one, a request that waits for it goes out over a new connection, and a role of replica that the barrier's answer shows is recorded. The stand-in's answers to empty queries carry the role as the protocol has it.

TestReadsBehindEmptyQueryOfFormerPrimary fails without the record and passes with it.

--- a/balance/report.go
+++ b/balance/report.go
@@ -61,6 +61,11 @@
 	}
 }
 
+// NodeIsReplica records that a node has shown that it is a replica.
+func (r *Router) NodeIsReplica(now int64, nodeIndex int) {
+	r.recordEvidence(&r.nodes[nodeIndex], now, Replica, 0, now)
+}
+
 // recordEvidence records a node's role, as of the given time, and its position. An old report does not override a newer
 // answer.
 func (r *Router) recordEvidence(node *nodeRecord, now int64, role Role, position, roleAt int64) {
--- a/cmd/sedgestream/slowconnectreads_test.go
+++ b/cmd/sedgestream/slowconnectreads_test.go
@@ -60,6 +60,7 @@
 				answer, err := writer.Query(standin.WriteQuery("order", 1000))
 				return err == nil && answer == "from the former primary"
 			})
+			time.Sleep(50 * time.Millisecond) // the empty query behind the write is answered, with the role
 			former.SetRole("copy")
 			successor.SetRole("source")
 			connects.enabled.Store(true)
@@ -87,3 +88,25 @@
 		})
 	}
 }
+
+// A primary hangs just behind an answer, is replaced, and goes on as a replica. What it then answers to the empty query behind
+// that answer shows its role, and no fresh read is written there any more.
+func TestReadsBehindEmptyQueryOfFormerPrimary(t *testing.T) {
+	former, successor := standin.NewPair(t)
+	goOn := make(chan struct{})
+	former.OnEmptyQuery = func() { <-goOn }
+	router := newRouter(t, former, successor)
+	router.Settings = uncheckedSettings
+	router.Start(os.Args[0])
+	router.Open(standin.WriteQuery("order", 1900)).Expect("from source")
+	time.Sleep(150 * time.Millisecond) // longer than the connect timeout
+	before := len(former.Executions())
+	former.SetRole("copy")
+	successor.SetRole("source")
+	close(goOn)
+	time.Sleep(100 * time.Millisecond)
+	router.Open(strings.Replace(standin.ReadQuery(900), "c=view", "c=now", 1)).Answer()
+	if reads := len(former.Executions()) - before; reads != 0 {
+		t.Errorf("%d reads were written to a node that had shown that it is a replica", reads)
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -172,6 +172,13 @@
 	d.router.ProbeEnded(d.Now(), node, ok, report)
 }
 
+// NodeIsReplica passes on that a node has shown that it is a replica, other than by the answer to an attempt or a probe.
+func (d *Dispatcher) NodeIsReplica(node int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.router.NodeIsReplica(d.Now(), node)
+}
+
 // ProbeMayBegin reports whether a probe that has waited for its connection may still be sent to its node.
 func (d *Dispatcher) ProbeMayBegin(node int) bool {
 	d.mu.Lock()
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -297,19 +297,18 @@
 	default:
 		return false
 	}
-	sendEmptyAnswer(backend, answer)
+	n.sendEmptyAnswer(backend, answer)
 	if command == "" && n.RepeatsEmptyAnswers {
 		time.Sleep(n.RepeatPause)
-		sendEmptyAnswer(backend, answer)
+		n.sendEmptyAnswer(backend, answer)
 	}
 	return true
 }
 
 // sendEmptyAnswer sends the answer to a statement without effect.
-func sendEmptyAnswer(backend *pgproto3.Backend, answer pgproto3.BackendMessage) {
+func (n *Node) sendEmptyAnswer(backend *pgproto3.Backend, answer pgproto3.BackendMessage) {
 	backend.Send(answer)
-	backend.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
-	backend.Flush()
+	n.sendReady(backend)
 }
 
 // WithLock calls f with the node's lock held.
--- a/internal/upstream/barrier.go
+++ b/internal/upstream/barrier.go
@@ -1,10 +1,14 @@
 package upstream
 
 import (
+	"errors"
+	"os"
 	"slices"
 	"time"
 
+	"sedgestream/balance"
 	"sedgestream/internal/pg"
+	"sedgestream/internal/request"
 )
 
 // A node may send more than the answer to a request, such as a second copy of it, and that may arrive any time later. It
@@ -40,17 +44,21 @@
 // isAsynchronous reports whether a message belongs to no answer: ParameterStatus or NoticeResponse.
 func isAsynchronous(kind byte) bool { return kind == 'S' || kind == 'N' }
 
+// errUnexpected is the reason of a connection that is closed as something else than the answer to its barrier came.
+var errUnexpected = errors.New("more than the answer to a request came")
+
 // passBarrier sends a barrier behind the request that has just been answered and reads the barrier's answer. It reports
-// whether the connection is clean: nothing else has come, and the answer came within the connect timeout. It also returns
-// the delivery that the pool has given to the connection meanwhile, if any. If not clean, the connection is closed.
+// whether the connection is clean: nothing else has come. It also returns the delivery that the pool has given to the
+// connection meanwhile, if any. If not clean, the connection is closed.
 func (c *conn) passBarrier() (next *delivery, clean bool) {
-	c.barrierEnds = time.Now().Add(time.Duration(c.pool.connectTimeout.Load()))
+	now := time.Now()
+	c.barrierEnds = now.Add(time.Duration(c.pool.connectTimeout.Load()))
 	c.sock.SetDeadline(c.barrierEnds)
 	c.pool.addToBarrier(c) // from here on the pool may interrupt the read
 	c.out.Write(pg.AppendEmptyStatement(nil))
 	err := c.out.Flush(c.sock)
 	if err == nil {
-		err = c.readBarrierAnswer()
+		err = c.awaitBarrierAnswer(now.Add(time.Duration(c.pool.idleTimeout.Load())))
 	}
 	c.closeReason = err
 	next, retired := c.pool.removeFromBarrier(c, err == nil)
@@ -61,27 +69,58 @@
 	return next, clean
 }
 
-// readBarrierAnswer reads up to the end of the answer to a barrier. Any other message is an error.
-func (c *conn) readBarrierAnswer() error {
+// awaitBarrierAnswer reads the answer to a barrier. If it has not come within the connect timeout, the connection is given to no
+// delivery any more, and one that waits for it is sent over another. The connection stays open until the given time: a node
+// that hung may show by the answer that it is no primary any more.
+func (c *conn) awaitBarrierAnswer(until time.Time) error {
 	c.barrier = emptyAnswers{expected: 1}
+	answer := &pg.Answer{}
+	err := c.readBarrierAnswer(answer)
+	for errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(until) {
+		next, retired := c.pool.takeWaiting(c, until)
+		if retired {
+			return err
+		}
+		if next != nil {
+			next.startedAt = time.Now() // the wait for the barrier does not count towards the connect timeout
+			c.pool.startAnew(next)
+		}
+		err = c.readBarrierAnswer(answer)
+	}
+	if answer.Info.Role == balance.Replica {
+		c.pool.reportReplica(c)
+	}
+	return err
+}
+
+// readBarrierAnswer reads up to the end of the answer to a barrier. If anything else comes, it reads up to the end of that, and
+// returns an error. What the node shows of itself is added to the answer.
+func (c *conn) readBarrierAnswer(answer *pg.Answer) error {
 	for c.barrier.expected > 0 || c.barrier.open {
-		kind, _, size, err := pg.PeekMessage(c.in)
+		kind, body, size, err := pg.PeekMessage(c.in)
 		switch {
 		case err != nil:
 			return err
-		case kind == 0 && size > c.in.FreeSpace()+c.in.Len(): // no message of the answer is so long
-			return pg.ErrMalformed
 		case kind == 0:
-			if _, err := c.in.Fill(c.sock); err != nil {
+			if err := c.readMore(size, c.barrierEnds); err != nil {
 				return err
 			}
 			continue
-		case !c.barrier.add(kind) && !isAsynchronous(kind):
-			return pg.ErrMalformed
+		case kind == 'S' || !c.barrier.add(kind) && kind != 'N':
+			err = answer.Add(kind, body)
 		}
 		c.in.Discard(size)
+		if err != nil {
+			return err
+		}
+		if answer.Ready {
+			return errUnexpected
+		}
 	}
 	c.barrier.expected = maxBarrierRepeats
+	if answer.HasBegun() {
+		return errUnexpected
+	}
 	return c.readIdleMessages() // a further answer may have come with the first
 }
 
@@ -99,10 +138,47 @@
 	defer p.mu.Unlock()
 	c.node.inBarrier = without(c.node.inBarrier, c)
 	c.node.failsBarriers = !answered && !c.retired
+	c.barrierLate = false
 	next, c.next = c.next, nil
 	return next, c.retired
 }
 
+// takeWaiting returns the delivery that waits for a connection behind a barrier, if any, and whether the connection is to be
+// closed. From now on the connection is given no delivery until its barrier is answered, for which it may wait until the given
+// time.
+func (p *Pool) takeWaiting(c *conn, until time.Time) (next *delivery, retired bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.retired {
+		return nil, true
+	}
+	c.sock.SetDeadline(until) // under the lock, so that it cannot override an interruption
+	next, c.next = c.next, nil
+	c.barrierLate = true
+	c.node.failsBarriers = true
+	return next, false
+}
+
+// startAnew starts a delivery, of which nothing has been written, on a new connection, unless nobody waits for it any more.
+func (p *Pool) startAnew(d *delivery) {
+	if d.isAborted() {
+		d.attach(nil, time.Time{})
+		d.finish(request.Result{Outcome: balance.NotSent})
+	} else {
+		p.start(d, true)
+	}
+}
+
+// reportReplica tells the router that a node has shown that it is a replica, unless the node has left.
+func (p *Pool) reportReplica(c *conn) {
+	p.mu.Lock()
+	isListed := p.nodes[c.number] == c.node
+	p.mu.Unlock()
+	if isListed && p.Dispatcher != nil {
+		p.Dispatcher.NodeIsReplica(c.number)
+	}
+}
+
 // soonIdle returns a connection that is behind a barrier and may be given a delivery, or nil. There is none while the node
 // does not answer barriers: the delivery would wait in vain. The caller holds the pool's lock.
 func (n *node) soonIdle() *conn {
@@ -115,4 +191,4 @@
 
 // isUnassigned reports whether a connection behind a barrier has no delivery yet and is not to be closed. The caller holds the
 // pool's lock.
-func (c *conn) isUnassigned() bool { return c.next == nil && !c.retired }
+func (c *conn) isUnassigned() bool { return c.next == nil && !c.retired && !c.barrierLate }
--- a/internal/upstream/barrier_test.go
+++ b/internal/upstream/barrier_test.go
@@ -75,8 +75,8 @@
 	}
 }
 
-// A connection whose barrier is not answered is closed once the connect timeout has passed, and one that is behind a barrier is
-// closed earlier if another needs its place. A request that was given to it meanwhile is sent over another one.
+// A request that was given to a connection whose barrier is not answered is sent over another one once the connect timeout has
+// passed. Connections behind a barrier are closed if another needs their place, and as the program ends.
 func TestConnectionBehindUnansweredBarrier(t *testing.T) {
 	const timeout = 100 * time.Millisecond
 	for _, isNeeded := range []bool{false, true} {
@@ -114,5 +114,15 @@
 	expectOutcome(t, results, balance.Succeeded, 5*time.Second)
 	_, results = pool.send(t, standin.WaitTimeout)
 	expectOutcome(t, results, balance.Succeeded, 5*time.Second)
-	standin.WaitFor(t, "the second connection to end", func() bool { pool.mu.Lock(); defer pool.mu.Unlock(); return pool.open <= 1 })
+	standin.WaitFor(t, "both to be behind barriers", func() bool {
+		pool.mu.Lock()
+		defer pool.mu.Unlock()
+		return len(pool.nodes[0].inBarrier) == 2
+	})
+	for range 2 {
+		if !pool.CloseOldestIdle() {
+			t.Error("a connection whose barrier is not answered was not closed to make room")
+		}
+	}
+	standin.WaitFor(t, "all connections to end", func() bool { pool.mu.Lock(); defer pool.mu.Unlock(); return len(pool.nodes[0].inBarrier) == 0 })
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -22,6 +22,7 @@
 type conn struct {
 	pool         *Pool
 	node         *node
+	number       int    // of the node
 	name         string // of the node, when the connection was started
 	address      string
 	sock         net.Conn
@@ -35,9 +36,10 @@
 	localFailure bool         // it failed to open for lack of resources or time in this process, which says nothing about the node
 
 	// Guarded by the pool's lock.
-	next      *delivery
-	retired   bool // to be closed
-	uncounted bool // no longer counted in Pool.open
+	next        *delivery
+	retired     bool // to be closed
+	uncounted   bool // no longer counted in Pool.open
+	barrierLate bool // its barrier is not answered in time
 }
 
 func (c *conn) interruptRead() { c.sock.SetReadDeadline(ring.PastDeadline) }
@@ -407,9 +409,5 @@
 // resend closes the connection and starts a delivery, of which nothing has been written, on a new one.
 func (c *conn) resend(d *delivery) {
 	c.close()
-	if d.isAborted() { // no connection is opened for a delivery that nobody waits for
-		c.finish(d, balance.NotSent, &pg.Answer{})
-	} else {
-		c.pool.start(d, true)
-	}
+	c.pool.startAnew(d)
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -206,7 +206,7 @@
 	}
 	p.open++
 	p.mu.Unlock()
-	c := &conn{pool: p, node: n, name: name, address: address, in: ring.New(ring.InitialSize, pg.MaxMessageSize, p.budget),
+	c := &conn{pool: p, node: n, number: d.node, name: name, address: address, in: ring.New(ring.InitialSize, pg.MaxMessageSize, p.budget),
 		out: ring.New(ring.InitialSize, pg.MaxMessageSize, p.budget)}
 	recovery.Go(p.log, "node connection", func() { c.serve(d) }, nil)
 }
@@ -235,7 +235,8 @@
 // oldestInBarrier returns a connection that is behind a barrier and has no further use, or nil. The caller holds mu.
 func (p *Pool) oldestInBarrier() *conn {
 	for _, n := range p.nodes {
-		if i := slices.IndexFunc(n.inBarrier, (*conn).isUnassigned); i >= 0 {
+		isFree := func(c *conn) bool { return c.next == nil && !c.retired }
+		if i := slices.IndexFunc(n.inBarrier, isFree); i >= 0 {
 			return n.inBarrier[i]
 		}
 	}
