upstream: a request that leaves a late barrier no longer refers to its connection

A cancel could interrupt the read of another request: one that waited for a barrier which came late kept the socket of that connection until its new connection was up, so a cancel in between set a deadline in the past on the old one, which could be in use again by then.

Change: startAnew takes the socket from the request first; the start of its connect timeout is set there too, in one place instead of two.

Result: TestCancelAfterLeavingLateBarrier fails without the change and passes with it.

--- a/internal/upstream/barrier.go
+++ b/internal/upstream/barrier.go
@@ -82,7 +82,6 @@
 			return err
 		}
 		if next != nil {
-			next.startedAt = time.Now() // the wait for the barrier does not count towards the connect timeout
 			c.pool.startAnew(next)
 		}
 		err = c.readBarrierAnswer(answer)
@@ -159,10 +158,12 @@
 	return next, false
 }
 
-// startAnew starts a delivery, of which nothing has been written, on a new connection, unless nobody waits for it any more.
+// startAnew starts a delivery, of which nothing has been written, on a new connection, unless nobody waits for it any more. The
+// connect timeout runs from now on.
 func (p *Pool) startAnew(d *delivery) {
+	d.attach(nil, time.Time{}) // a cancellation must not interrupt the connection that it leaves
+	d.startedAt = time.Now()
 	if d.isAborted() {
-		d.attach(nil, time.Time{})
 		d.finish(request.Result{Outcome: balance.NotSent})
 	} else {
 		p.start(d, true)
--- a/internal/upstream/barrier_test.go
+++ b/internal/upstream/barrier_test.go
@@ -5,9 +5,12 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"sedgestream/balance"
 	"sedgestream/internal/pg"
 	"sedgestream/internal/request"
+	"sedgestream/internal/ring"
 	"sedgestream/internal/standin"
 )
 
@@ -126,3 +129,41 @@
 	}
 	standin.WaitFor(t, "all connections to end", func() bool { pool.mu.Lock(); defer pool.mu.Unlock(); return len(pool.nodes[0].inBarrier) == 0 })
 }
+
+// A request that leaves a connection whose barrier is late no longer refers to it: to cancel the request must not interrupt
+// what the connection carries by then.
+func TestCancelAfterLeavingLateBarrier(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	defer near.Close()
+	pool := New(&balance.Settings{}, Limits{Connections: 0}, zap.NewNop())
+	pool.SetNode(0, "a", "127.0.0.1:1")
+	interrupted := make(chan struct{}, 1)
+	sock := &deadlineConn{near, func(deadline time.Time) {
+		if deadline.Equal(ring.PastDeadline) {
+			interrupted <- struct{}{}
+		}
+	}}
+	results := make(chan request.Result, 1)
+	d := &delivery{deadline: time.Now().Add(time.Second), done: func(r request.Result) { results <- r }}
+	d.attach(sock, d.deadline)
+	pool.startAnew(d)
+	expectOutcome(t, results, balance.NotSent, time.Second) // there is no place for another connection
+	d.Cancel()
+	select {
+	case <-interrupted:
+		t.Error("the connection that the request had left was interrupted")
+	default:
+	}
+}
+
+// deadlineConn is a socket that tells which deadlines are set.
+type deadlineConn struct {
+	net.Conn
+	onDeadline func(time.Time)
+}
+
+func (c *deadlineConn) SetDeadline(deadline time.Time) error {
+	c.onDeadline(deadline)
+	return c.Conn.SetDeadline(deadline)
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -96,7 +96,6 @@
 		next, clean := c.passBarrier()
 		switch {
 		case next != nil && !clean:
-			next.startedAt = time.Now() // the wait for the barrier does not count towards the connect timeout
 			c.resend(next)
 			return nil
 		case next != nil || !clean:
