--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -229,9 +229,9 @@
 	return worthWaiting
 }
 
-// MayStartAttempt reports whether an attempt that was decided on earlier may still be sent. All that its node was chosen by
-// must hold now: the node is in the request's group and admits the attempt, the list is not too old to say so, the node has
-// the data that the request must see, and a retry is within the deduplication window and scope of the earlier attempts.
+// MayStartAttempt reports whether an attempt that was decided on earlier may still be sent: its node is in the request's group
+// and admits the attempt, the list is not too old to say so, the node has the data that the request must see, and a retry
+// is within the deduplication window and scope of the earlier attempts.
 func (r *Router) MayStartAttempt(now int64, slot Slot, attemptIndex int) bool {
 	req := &r.requests[slot]
 	attempt := &req.attempts[attemptIndex]
--- a/balance/maystart_test.go
+++ b/balance/maystart_test.go
@@ -2,16 +2,14 @@
 
 import "testing"
 
-// startChange is something that happens between the choice of a node for an attempt and the moment in which the attempt
-// could be written.
+// startChange is something that happens between the decision on an attempt and the moment in which it could be written.
 type startChange struct {
 	name   string
 	happen func(h *harness)
 	may    bool // whether a read at the primary may still start
 }
 
-// startChanges are changes behind which a read that was chosen for the primary, node 0, may not start there, and some
-// behind which it may.
+// startChanges are changes behind which a read that was assigned to the primary, node 0, may or may not start there.
 func startChanges() []startChange {
 	active := []nodeRecord{{listedPrimary: true}, {}, {}}
 	return []startChange{
@@ -34,9 +32,8 @@
 	}
 }
 
-// A read that was chosen for the primary, and whose connection comes up late, was written there though the node had shown
-// meanwhile that it is a replica (docs/incidents/read-at-a-former-primary.md). What a node was chosen by must hold for each
-// class that bounds the age of its data.
+// A read whose connection comes up late must not be written to a former primary
+// (docs/incidents/read-at-a-former-primary.md), in any class that bounds the age of its data.
 func TestReadsMayNotStartAtFormerPrimary(t *testing.T) {
 	for _, consistency := range []Consistency{Fresh, Session, Bounded} {
 		for _, change := range startChanges() {
--- a/cmd/sedgestream/crowds_test.go
+++ b/cmd/sedgestream/crowds_test.go
@@ -255,13 +255,16 @@
 	}
 }
 
-// buildProgram builds the program into a folder that lasts as long as the process, and returns its path.
+// builtProgramDir is the folder of the built program, which TestMain removes; "" if none was built.
+var builtProgramDir string
+
+// buildProgram builds the program and returns its path.
 var buildProgram = sync.OnceValues(func() (path string, err error) {
-	dir, err := os.MkdirTemp("", "sedgestream-built")
+	builtProgramDir, err = os.MkdirTemp("", "sedgestream-built")
 	if err != nil {
 		return "", err
 	}
-	path = filepath.Join(dir, "sedgestream")
+	path = filepath.Join(builtProgramDir, "sedgestream")
 	output, err := exec.Command("go", "build", "-tags", "nolab", "-o", path, ".").CombinedOutput()
 	if err != nil {
 		err = fmt.Errorf("go build: %w: %s", err, output)
--- a/cmd/sedgestream/main_test.go
+++ b/cmd/sedgestream/main_test.go
@@ -30,7 +30,11 @@
 		runAsRouter()
 		return
 	}
-	os.Exit(m.Run())
+	code := m.Run()
+	if builtProgramDir != "" {
+		os.RemoveAll(builtProgramDir)
+	}
+	os.Exit(code)
 }
 
 // newRouter prepares a router process of the test binary, with discovery and the given nodes.
