frontend: a cancel request expires with the input that it was kept for

Cause: a cancel request is kept for a query in input that is being processed. An empty query counts as that until its goroutine runs again behind the write of its answer; then no query came, and the cancel request ended a later one.

Change: it is kept for one pass over new input, two if there is input in the socket, and query and cancel request meet under one lock.

Result: TestCancelBehindAnswerToEmptyQuery fails in both orders without the change and passes with it; 0 of 150 plays of all tests of cancel requests beside 60 busy processes, race detector clean.

--- a/internal/frontend/cancel.go
+++ b/internal/frontend/cancel.go
@@ -78,18 +78,52 @@
 // before it can know that its cancel request came too late gets that query canceled.
 func (c *client) cancelOldest() {
 	oldest, unread := c.awaitOldest()
-	if unread {
-		c.cancelNext.Store(true)
+	if unread && !c.cancelUnread() {
 		oldest, _ = c.oldestUnanswered()
-		if oldest != nil && !c.cancelNext.Swap(false) {
-			return // the connection's goroutine has canceled it
-		}
 	}
 	if oldest != nil {
 		oldest.cancel()
 	}
 }
 
+// cancelUnread has the first query canceled in the input that has arrived and is not processed yet. It reports false if
+// there is no such input any more, or a query in it has been started.
+func (c *client) cancelUnread() bool {
+	c.passMu.Lock()
+	defer c.passMu.Unlock()
+	if !c.hasUnread() {
+		return false
+	}
+	c.cancelPasses = 1
+	if ring.HasPending(c.sock) {
+		c.cancelPasses = 2 // the present pass may be over input that came before
+	}
+	return true
+}
+
+// appendAndTakeCancel adds the pending answer of a query that has just been processed. It reports whether the connection was
+// about to be closed as idle, which it prevents, and whether a cancel request has arrived for the query.
+func (c *client) appendAndTakeCancel(answer *pendingAnswer) (wasEnding, canceled bool) {
+	c.passMu.Lock()
+	defer c.passMu.Unlock()
+	wasEnding = c.appendPending(answer)
+	canceled = c.cancelPasses > 0
+	c.cancelPasses = 0
+	return wasEnding, canceled
+}
+
+// endPass records that all input that has been read is processed, as far as its messages are complete. A cancel request
+// expires with the input that it was meant for: it must not cancel what the client sends later.
+func (c *client) endPass() {
+	c.passMu.Lock()
+	defer c.passMu.Unlock()
+	hasRead := c.processing.Swap(false)
+	c.readPasses.Add(1)
+	if hasRead && c.cancelPasses > 0 && c.in.Len() == c.longQueryBytes {
+		c.cancelPasses--
+	}
+}
+
 // awaitOldest returns the oldest request without an answer, or nil and whether a query has arrived that is not
 // in flight yet. What the client has sent and received may not show, if goroutines have not run since their
 // system calls returned: after an answer is written it still counts as being written, and after a query is read
--- a/internal/frontend/cancel_stopped_test.go
+++ b/internal/frontend/cancel_stopped_test.go
@@ -196,3 +196,29 @@
 		t.Errorf("a cancel request took %v, want at most %v", took, atOnce)
 	}
 }
+
+// An empty query is answered, but the goroutine that answered it has not run since, as a cancel request is processed: the
+// cancel request is for nothing, and the query that the client sends behind it is answered.
+func TestCancelBehindAnswerToEmptyQuery(t *testing.T) {
+	for _, name := range []string{"before the goroutine runs", "after it has run"} {
+		t.Run(name, func(t *testing.T) {
+			first := standin.ReadQuery(20000)
+			s, stopped, q := serveStopped(t, first)
+			stopped.afterWrite.enabled.Store(true)
+			q.SendStatement("")
+			q.Expect("empty")
+			<-stopped.afterWrite.reached
+			s.serveCancel(keyOf(q))
+			if name == "before the goroutine runs" {
+				q.SendStatement(first)
+				standin.WaitFor(t, "the query to arrive", func() bool { return ring.HasPending(stopped.TCPConn) })
+			}
+			close(stopped.afterWrite.release)
+			if name != "before the goroutine runs" {
+				awaitReading(t, s, q)
+				q.SendStatement(first)
+			}
+			q.Expect(standin.RequestID(first))
+		})
+	}
+}
--- a/internal/frontend/client.go
+++ b/internal/frontend/client.go
@@ -47,7 +47,9 @@
 	examined     atomic.Bool   // the goroutine has found no input at its start, or has processed what had arrived
 	processing   atomic.Bool   // input has been read and is being processed
 	readPasses   atomic.Int64  // how often all input that had been read was processed
-	cancelNext   atomic.Bool   // a cancel request has arrived for the query that is processed next
+
+	passMu       sync.Mutex // held as a pass over the input ends, as a query is started, and as a cancel request looks for one
+	cancelPasses int        // the next query is canceled if it starts within so many passes over new input; guarded by passMu
 
 	connectedAt, readAt int64     // when the connection was accepted, and when the next input to process was read
 	messageStartedAt    time.Time // when the message at the front began to arrive; the first query counts from the connection's start
@@ -147,8 +149,7 @@
 			if reads > 0 { // what arrived first has been processed, as far as it was complete
 				c.examined.Store(true)
 			}
-			c.processing.Store(false)
-			c.readPasses.Add(1)
+			c.endPass()
 			waiting := c.isWaiting()
 			err = c.read()
 			if waiting && c.inFlight.Load() != c.blockedAt {
--- a/internal/frontend/query.go
+++ b/internal/frontend/query.go
@@ -136,11 +136,11 @@
 	answer.memoryUsers.Store(memoryUsers)
 	answer.handle = request.Start(c.server.dispatcher, req, answer,
 		upstream.Sender{Pool: c.server.pool, Statement: statement, IsWanted: answer.isWanted})
-	wasEnding := c.appendPending(answer)
+	wasEnding, canceled := c.appendAndTakeCancel(answer)
 	if wasEnding {
 		c.server.notifyChanged()
 	}
-	if c.cancelNext.Swap(false) {
+	if canceled {
 		answer.cancel()
 	}
 	// The request's callbacks run from here on: the answer is pending by now, and a cancel request finds the
