discovery: a slow discovery is heard where lists are pushed

Cause: calls were given up after 1 s where lists are pushed, and of more calls than descriptors the oldest was ended, which a slow discovery answers next.

Change: a call is awaited for 6 s beside newer ones, as where lists are asked for; the calls that keep a descriptor are of all ages, so that both a discovery that is back and a slow one are heard. A call counts as not answered after 1 s, as before.

--- a/cmd/sedgestream/discoveryload_test.go
+++ b/cmd/sedgestream/discoveryload_test.go
@@ -90,13 +90,28 @@
 // Discovery answers each call after 3 s, but can be reached and refuses nobody: a drain still counts as announced 6 s
 // later. No request begins at the node after the grace, whether or not the router has got the list.
 func TestDiscoveryAnswersAfterThreeSeconds(t *testing.T) {
+	testSlowDiscovery(t, pollSettings, 3*time.Second)
+}
+
+// Lists are pushed, and discovery answers each call late: a drain is heard before it counts as announced. Calls that are
+// given up before they are answered never bring it.
+func TestDrainIsHeardFromSlowDiscoveryWhereListsArePushed(t *testing.T) {
+	for _, answerTime := range []time.Duration{1200 * time.Millisecond, 3 * time.Second} {
+		t.Run(answerTime.String(), func(t *testing.T) {
+			testSlowDiscovery(t, standin.DefaultSettings, answerTime)
+		})
+	}
+}
+
+// testSlowDiscovery plays a drain that discovery knows as the router starts, and whose calls it answers after some time.
+func testSlowDiscovery(t *testing.T, settings string, answerTime time.Duration) {
 	t.Parallel()
 	const grace, clockSlack = 500 * time.Millisecond, 300 * time.Millisecond
 	primary, leaving := standin.NewPair(t)
 	staying := standin.NewNode(t, "copy")
 	router := newRouter(t, primary, leaving, staying)
-	router.Settings, router.WatchSendsList, router.WholeLines = pollSettings, true, true
-	router.SetDiscoveryDelay(3 * time.Second)
+	router.Settings, router.WatchSendsList, router.WholeLines = settings, true, true
+	router.SetDiscoveryDelay(answerTime)
 	router.SetList(`{"version":8,"full":true,"servers":[` + router.ListEntries("up", "draining", "up") + "]}")
 	router.Start(os.Args[0])
 	client := router.Open("")
--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -33,9 +33,10 @@
 	// queuedAnswerTime is the time within which a discovery that serves calls one at a time answers or refuses
 	// a call. A call without a response for longer counts as unanswered, although it continues.
 	queuedAnswerTime = heartbeatInterval + heartbeatInterval/16
-	// queuedCallTimeout is the longest wait for a response header where lists are asked for. The call continues
-	// beside newer ones, since a list that arrives before its changes count as announced is in time.
-	queuedCallTimeout = AnnouncedAfter
+	// answerTimeout is the longest wait for a response header. The call continues beside newer ones, since a list that
+	// arrives before its changes count as announced is in time. A call that is abandoned earlier would be answered for
+	// nobody, and its successor would queue behind all others again.
+	answerTimeout = AnnouncedAfter
 	// fullListTimeout is the longest time from the response header to the end of the full list.
 	fullListTimeout = heartbeatInterval / 2
 
@@ -62,16 +63,6 @@
 	return max(headerTimeout/16, min(headerTimeout, time.Duration(settings.DrainGrace))/4)
 }
 
-// answerTimeout returns how long a watch's call may take up to the end of its response header. Where lists are
-// asked for, discovery may be slow, or serve the calls of all routers one at a time: a call abandoned earlier
-// would be answered for nobody, and its successor would queue behind all others again.
-func answerTimeout(settings *balance.Settings) time.Duration {
-	if !settings.ListPushed {
-		return queuedCallTimeout
-	}
-	return headerTimeout
-}
-
 // request is a call for the list.
 type request struct {
 	target   string
@@ -82,18 +73,23 @@
 
 // watchRequest returns a request of Watch, which may wait for its response for as long as the list can be in time.
 func (c *Client) watchRequest(target string, since progress) request {
-	return request{target: target, since: since, timeout: time.Duration(c.answerTimeout.Load()), forWatch: true}
+	return request{target: target, since: since, timeout: answerTimeout, forWatch: true}
 }
 
 // refetchRequest returns a request for the full list beside a watch. If it is not answered soon, the watch's
 // successor fetches the list.
 func (c *Client) refetchRequest(target string, since progress) request {
-	timeout := min(time.Duration(c.answerTimeout.Load()), queuedAnswerTime)
-	return request{target: target, since: since, timeout: timeout}
+	return request{target: target, since: since, timeout: queuedAnswerTime}
 }
 
-// listsAskedFor reports whether lists are asked for rather than pushed.
-func (c *Client) listsAskedFor() bool { return c.answerTimeout.Load() > int64(headerTimeout) }
+// unansweredAfter returns how long a call may go unanswered before discovery counts as down when it began. Where lists are
+// asked for, that is the time in which a discovery that serves calls one at a time answers.
+func (c *Client) unansweredAfter() time.Duration {
+	if c.listsAskedFor.Load() {
+		return queuedAnswerTime
+	}
+	return headerTimeout
+}
 
 // progress is the state of an endpoint's lists at one moment: the version of the last list and the number
 // received.
@@ -155,7 +151,7 @@
 		return func() {}
 	}
 	delay := time.Duration(c.hedgeDelay.Load())
-	if c.listsAskedFor() && c.hasRefusedCall(ep) {
+	if c.listsAskedFor.Load() && c.hasRefusedCall(ep) {
 		delay = queuedAnswerTime
 	}
 	timer := recovery.AfterFunc(c.log, "hedged list call", delay, onSlow)
@@ -190,13 +186,13 @@
 }
 
 // startUnansweredTimer tells the dispatcher, unless it is stopped before, that the call has had no response for longer
-// than a discovery that serves calls one at a time needs. The call continues: a late response proves that discovery
-// was slow.
+// than discovery should need. The call continues: a late response proves that discovery was slow.
 func (c *Client) startUnansweredTimer(call *pendingCall) (stop func()) {
-	if call.timeout <= queuedAnswerTime {
+	delay := c.unansweredAfter()
+	if call.timeout <= delay {
 		return func() {}
 	}
-	timer := recovery.AfterFunc(c.log, "unanswered list call", queuedAnswerTime, func() { c.reportUnanswered(call) })
+	timer := recovery.AfterFunc(c.log, "unanswered list call", delay, func() { c.reportUnanswered(call) })
 	return func() { timer.Stop() }
 }
 
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -27,7 +27,7 @@
 	// In nanoseconds: the time a connection may take to open, and the time after which the dispatcher is told that
 	// a call is slow.
 	connectTimeout, hedgeDelay atomic.Int64
-	answerTimeout              atomic.Int64 // in nanoseconds, from the start of a call to the end of the response header
+	listsAskedFor              atomic.Bool // rather than pushed
 	dispatcher                 *dispatch.Dispatcher
 	log                        *zap.Logger
 
@@ -75,7 +75,7 @@
 func (c *Client) Configure(settings *balance.Settings) {
 	c.connectTimeout.Store(settings.ConnectTimeout)
 	c.hedgeDelay.Store(int64(hedgeDelay(settings)))
-	c.answerTimeout.Store(int64(answerTimeout(settings)))
+	c.listsAskedFor.Store(!settings.ListPushed)
 }
 
 // SetAddress moves the client to another address. What the old watch has already sent is still read, up to
@@ -307,7 +307,7 @@
 // nothing: what discovery has counts as announced at its return, without the time that the router allows elsewhere.
 func (c *Client) recordAnswerLocked(call *pendingCall) {
 	c.removePendingLocked(call)
-	if c.current == call.endpoint && c.listsAskedFor() {
+	if c.current == call.endpoint && c.listsAskedFor.Load() {
 		c.dispatcher.ListAnswered(time.Since(call.start))
 	}
 }
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -217,7 +217,7 @@
 		if awaitWatchOrder(dispatcher, headerTimeout+margin) < 0 {
 			t.Errorf("no hedged call %v after one whose header never arrives", time.Since(start))
 		}
-		expectEnd(t, "a call whose header never arrives", done, 0, queuedCallTimeout+margin)
+		expectEnd(t, "a call whose header never arrives", done, 0, answerTimeout+margin)
 	})
 	t.Run("slow heartbeats", func(t *testing.T) {
 		t.Parallel()
@@ -401,7 +401,7 @@
 	if took := awaitWatchOrder(dispatcher, headerTimeout*3/4); took >= 0 {
 		t.Errorf("a hedged call is ordered after %v", took)
 	}
-	expectEnd(t, "the call", done, 2*headerTimeout, queuedCallTimeout+headerTimeout/2)
+	expectEnd(t, "the call", done, 2*headerTimeout, answerTimeout+headerTimeout/2)
 }
 
 // If the full list cannot be fetched after a malformed line, the watch is closed, and the next one starts
--- a/internal/discovery/connect.go
+++ b/internal/discovery/connect.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"slices"
 	"time"
@@ -94,8 +95,10 @@
 	}
 }
 
-// abandonOther cancels a pending call other than the given one. Where lists are pushed, this is the oldest, which was
-// made while discovery was down. Where they are asked for, it is the newest: a slow discovery answers the others first.
+// abandonOther cancels a pending call other than the given one. Where lists are asked for, it is the newest: a slow discovery
+// answers the others first. Where they are pushed, many more calls are made than there are slots for, and it is not known
+// which of them discovery will answer: those from before its return are lost, and a slow one needs an old call. So calls of
+// all ages are kept.
 func (c *Client) abandonOther(call *pendingCall) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -103,11 +106,29 @@
 	if len(others) == 0 {
 		return
 	}
-	abandoned := others[0]
-	if c.listsAskedFor() {
-		abandoned = others[len(others)-1]
+	abandoned := others[len(others)-1]
+	if !c.listsAskedFor.Load() {
+		abandoned = others[mostRedundant(others, call.start)]
 	}
 	c.cancelPendingLocked(func(other *pendingCall) bool { return other == abandoned })
 }
 
+// mostRedundant returns the index of the call whose age at the given time is represented best by those of its neighbors, so
+// that the ages of the calls that are left differ by a similar factor each. The calls are in the order of their starts. The
+// oldest one is never returned unless it is the only one.
+func mostRedundant(calls []*pendingCall, now time.Time) (index int) {
+	leastGap := math.Inf(1)
+	for i := 1; i < len(calls); i++ {
+		olderAge, newerAge := now.Sub(calls[i-1].start), time.Duration(0)
+		if i+1 < len(calls) {
+			newerAge = now.Sub(calls[i+1].start)
+		}
+		gap := float64(olderAge-newerAge) / float64(max(olderAge, 1))
+		if gap < leastGap {
+			leastGap, index = gap, i
+		}
+	}
+	return index
+}
+
 func (c *Client) releaseSlot() { <-c.slots }
--- a/internal/discovery/slow_calls_test.go
+++ b/internal/discovery/slow_calls_test.go
@@ -1,10 +1,13 @@
 package discovery
 
 import (
+	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -37,7 +40,7 @@
 			result = results[i]
 		}
 		start := r.now
-		if result == answeredLate && answerTime <= answerTimeout(settings) {
+		if result == answeredLate && answerTime <= answerTimeout {
 			return start + int64(answerTime), true // no later call is answered earlier
 		}
 		if result != refusedAtOnce {
@@ -213,3 +216,64 @@
 	}
 	t.Logf("%d calls, all lists after %v", calls.Load(), time.Since(start))
 }
+
+// Lists are pushed, and discovery answers each call late, also behind an outage in which calls hang. Calls made meanwhile must
+// not take the place of the one that is about to be answered.
+func TestSlowDiscoveryIsHeardWhereListsArePushed(t *testing.T) {
+	t.Parallel()
+	for _, play := range []struct{ answerTime, outage, heardWithin time.Duration }{
+		{1200 * time.Millisecond, 0, 2 * time.Second},
+		{2500 * time.Millisecond, 0, 3500 * time.Millisecond},
+		{1200 * time.Millisecond, 3 * time.Second, 4 * time.Second},
+	} {
+		for _, grace := range []time.Duration{250 * time.Millisecond, 500 * time.Millisecond, 2 * time.Second} {
+			t.Run(fmt.Sprintf("%v after %v, grace %v", play.answerTime, play.outage, grace), func(t *testing.T) {
+				t.Parallel()
+				returns := time.Now().Add(play.outage)
+				server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if time.Now().Before(returns) {
+						<-r.Context().Done()
+						return
+					}
+					time.Sleep(play.answerTime)
+					io.WriteString(w, fullList(8, "up")+"\n")
+					w.(http.Flusher).Flush()
+					<-r.Context().Done()
+				}))
+				defer server.Close()
+				settings := pushedSettings()
+				settings.DrainGrace = int64(grace)
+				client, nodes := newDispatchedClient(t, strings.TrimPrefix(server.URL, "http://"), settings)
+				defer client.Close()
+				waitUntil(t, "the list", func() bool { return client.knows(nodes, "s-1") })
+				if took := time.Since(returns); took > play.heardWithin {
+					t.Errorf("the list came after %v, want %v at most", took, play.heardWithin)
+				}
+			})
+		}
+	}
+}
+
+// Of many calls that hang, calls of all ages keep their slots. With evenly spread ages, each would differ from the next by the same
+// factor; where one has just been abandoned, its neighbors differ by the square of it at most.
+func TestCallsOfAllAgesAreKept(t *testing.T) {
+	const spacing = 100 * time.Millisecond
+	largestFactor := math.Pow(float64(answerTimeout)/float64(spacing), 2.0/(maxCalls-1))
+	now := time.Now()
+	var calls []*pendingCall
+	for range 200 {
+		if len(calls) == maxCalls {
+			redundant := mostRedundant(calls, now)
+			calls = slices.Delete(calls, redundant, redundant+1)
+		}
+		calls = append(calls, &pendingCall{start: now})
+		now = now.Add(spacing)
+		calls = slices.DeleteFunc(calls, func(call *pendingCall) bool { return now.Sub(call.start) > answerTimeout })
+		for i := 1; i < len(calls); i++ {
+			older, newer := now.Sub(calls[i-1].start), now.Sub(calls[i].start)
+			if float64(older) > largestFactor*float64(newer) {
+				t.Fatalf("no call is between %v and %v old", newer, older)
+			}
+		}
+	}
+}
