Large values lie in memory once, and count until they are written

Cause: the value of an answer and the text of a long query were copies beside the connections' buffers, and counted in no budget. Trace: 2,300 to 2,700 collections in 23 s that freed next to nothing; of 14.0 MB of live heap 6.7 MB were values, 4.4 MB buffers, 1.2 MB copies of queries.

Change: ring.Detach takes a long message out of a buffer with its memory and its share of the budget; the share returns as the answer is written or counted among the clients' values, and as the request of a query is over. Buffers of over 4 KB are recycled.

--- a/cmd/sedgestream/crowds_test.go
+++ b/cmd/sedgestream/crowds_test.go
@@ -144,9 +144,13 @@
 // playCrowd plays a crowd of so many clients for a while, each behaving anew when it has ended, and checks memory and the
 // answers of usual clients.
 func playCrowd(t *testing.T, kind crowd, megabytes, clients int, length time.Duration) {
+	playCrowdWithValue(t, kind, strings.Repeat("v", 1000), megabytes, clients, length)
+}
+
+// playCrowdWithValue is playCrowd with the value that nodes answer with.
+func playCrowdWithValue(t *testing.T, kind crowd, value string, megabytes, clients int, length time.Duration) {
 	primary, replica := standin.NewPair(t)
 	primary.SkipRecords, replica.SkipRecords = true, true
-	value := strings.Repeat("v", 1000)
 	for _, node := range []*standin.Node{primary, replica} {
 		node.Handler = func(backend *standin.Backend, _ standin.Conn, _ string) {
 			time.Sleep(5 * time.Millisecond)
@@ -180,6 +184,62 @@
 	}
 }
 
+// longValues returns a crowd whose clients send so many requests at once, reads and a share of long writes, and read all answers before
+// they send again, after a pause.
+func longValues(name string, requests int, writeShare float64, pause time.Duration) crowd {
+	return crowd{name, func(p *crowdPlay, _ int) {
+		sock := p.dial()
+		if sock == nil {
+			return
+		}
+		defer sock.Close()
+		client := standin.NewClient(p.t, sock)
+		sock.Write(startupPacket(""))
+		for time.Now().Before(p.until) {
+			var messages []byte
+			for range requests {
+				query := standin.ReadQuery(1000)
+				if rand.Float64() < writeShare {
+					query = longWrite(2000)
+				}
+				messages = append(messages, queryMessage(query)...)
+			}
+			if _, err := sock.Write(messages); err != nil {
+				return
+			}
+			for range requests {
+				if _, err := client.ReadAnswer(); err != nil {
+					return
+				}
+			}
+			time.Sleep(rand.N(2 * pause))
+		}
+	}}
+}
+
+// Values are of 64 KiB, and hundreds of clients send ten requests at once, or long writes alone. The router stays below its memory limit:
+// each value, of a query or of an answer, lies in its memory once, and is counted until it is written
+// (docs/incidents/copies-of-large-values.md).
+func TestMemoryWithLongValues(t *testing.T) {
+	t.Parallel()
+	value := strings.Repeat("v", 64<<10)
+	for i, kind := range []crowd{
+		longValues("three requests at once, half of them long writes", 3, 0.5, 700*time.Millisecond),
+		longValues("ten requests at once", 10, 0.01, 1500*time.Millisecond),
+		longValues("single long writes", 1, 1, 200*time.Millisecond),
+	} {
+		sizes := crowdSizes
+		if i > 0 {
+			sizes = crowdSizes[:1]
+		}
+		for _, megabytes := range sizes {
+			t.Run(fmt.Sprintf("%s, %d MB", kind.name, megabytes), func(t *testing.T) {
+				playCrowdWithValue(t, kind, value, megabytes, crowdClients/2, 3*time.Second)
+			})
+		}
+	}
+}
+
 // flood returns a crowd of one client that sends messages at full speed over one connection, and reads what comes back.
 func flood(name string, message func(n int) []byte) crowd {
 	return crowd{name, func(p *crowdPlay, _ int) {
--- a/internal/frontend/admission.go
+++ b/internal/frontend/admission.go
@@ -10,13 +10,14 @@
 // stack, its mailbox, the router's record of it, and a short answer that waits for those before it.
 const requestOverhead = 6 << 10
 
-// isLong reports whether a query of so many bytes is long. A long query is not copied: it stays in the connection's buffer
-// until its request ends, and is alone in flight there.
-func isLong(bytes int) bool { return bytes > ring.InitialSize/2 }
-
-// requestMemory returns the memory in bytes that a request takes while it is in hand, by the size of its query.
-func requestMemory(queryBytes int) int64 {
-	if isLong(queryBytes) {
+// isLong reports whether a message of so many bytes is long. A long query is not copied: it takes the memory over in which it has come,
+// until its request ends, and is alone in flight on its connection.
+func isLong(bytes int) bool { return bytes > ring.InitialSize }
+
+// requestMemory returns the memory in bytes that a request takes while it is in hand, by the size of its query. A long one is counted
+// among the large values.
+func requestMemory(queryBytes int, long *ring.Memory) int64 {
+	if long != nil {
 		return requestOverhead
 	}
 	return requestOverhead + int64(queryBytes)
@@ -48,5 +49,6 @@
 func (a *pendingAnswer) releaseMemory() {
 	if a.memoryBytes > 0 && a.memoryUsers.Add(-1) == 0 {
 		a.client.server.releaseMemory(a.memoryBytes)
+		a.query.Recycle() // no attempt is in flight any more
 	}
 }
--- a/internal/frontend/admission_test.go
+++ b/internal/frontend/admission_test.go
@@ -22,7 +22,7 @@
 		node.SendValue(b, standin.RequestID(query))
 	}
 	s = newTestServer(t, node.Listener.Addr().String())
-	s.admission = admission.NewMemory(requests * requestMemory(len(standin.ReadQuery(20000))+1))
+	s.admission = admission.NewMemory(requests * requestMemory(len(standin.ReadQuery(20000))+1, nil))
 	go s.Serve()
 	t.Cleanup(func() { s.listener.Close() })
 	return s, func() { close(answers) }
@@ -130,7 +130,7 @@
 	defer far.Close()
 	c := newClient(s, near)
 	c.markGone()
-	if err := c.handleQuery(append([]byte(standin.ReadQuery(20000)), 0)); err != nil {
+	if err := c.handleQuery(append([]byte(standin.ReadQuery(20000)), 0), nil); err != nil {
 		t.Fatal(err)
 	}
 	standin.WaitFor(t, "the request to end", func() bool { return s.dispatcher.InFlight() == 0 && memoryInHand(s) == 0 })
--- a/internal/frontend/answers.go
+++ b/internal/frontend/answers.go
@@ -20,7 +20,9 @@
 	id          string
 	handle      *dispatch.RequestHandle // of the request, if there is one; set before this is pending
 	parts       [][]byte                // the messages of the answer, nil until there is one
+	long        *ring.Memory            // of the long message among them, if there is one
 	budgetBytes int                     // bytes taken from the budget for a long answer until it is written
+	query       *ring.Memory            // holds the query, if it is long, until the memory of the request is returned
 	memoryBytes int64                   // bytes of the request's share in the memory of all requests in hand
 	memoryUsers atomic.Int32            // of memoryUsers those that have not ended
 
@@ -99,14 +101,19 @@
 // answer sets the answer of a request, whose id may be used again from now on. If it is the first pending
 // one, it is written by the caller together with those behind it that are ready; otherwise whoever writes the
 // answer before it will write it. The lock is released during writes, for the connection's own goroutine.
-func (a *pendingAnswer) answer(parts ...[]byte) {
+func (a *pendingAnswer) answer(parts ...[]byte) { a.answerLong(nil, parts) }
+
+// answerLong is answer for an answer with a long message in memory of its own, which it takes over.
+func (a *pendingAnswer) answerLong(long *ring.Memory, parts [][]byte) {
 	c := a.client
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.gone || a.parts != nil {
+		long.Recycle()
 		return
 	}
 	a.releaseIDIfEnded()
+	a.long = long
 	if a.parts = parts; c.writing || a != c.pending[0] {
 		a.reserveMemory()
 		return
@@ -116,6 +123,8 @@
 		if err := next.writeUnlocked(); err != nil {
 			c.sock.Close()
 		}
+		next.parts = [][]byte{}
+		next.long.Recycle()
 		if c.gone {
 			return
 		}
@@ -144,11 +153,14 @@
 		return
 	}
 	a.client.server.log.Warn("no memory for an answer that has to wait", zap.Int("bytes", a.size()))
+	a.long.Recycle()
+	a.long = nil
 	a.parts = [][]byte{pg.AppendReadyForQuery(pg.AppendFailure(nil))}
 }
 
 // acquireBudget takes the memory of a long answer from the budget, unless it has been taken, and reports whether there was
-// enough. Short ones are covered by the memory of their requests. The caller holds the client's mu.
+// enough. Short ones are covered by the memory of their requests. A message that is counted among the nodes' large values no longer is
+// then. The caller holds the client's mu.
 func (a *pendingAnswer) acquireBudget() bool {
 	size := a.size()
 	if size <= ring.InitialSize || a.budgetBytes > 0 {
@@ -158,6 +170,7 @@
 		return false
 	}
 	a.budgetBytes = size
+	a.long.Release()
 	return true
 }
 
@@ -170,7 +183,13 @@
 }
 
 // Succeeded implements request.Client.
-func (a *pendingAnswer) Succeeded(value []byte) { a.answer(value, pg.AppendReadyForQuery(nil)) }
+func (a *pendingAnswer) Succeeded(value ring.Payload) {
+	if value.Long == nil {
+		a.answer(value.Head, pg.AppendReadyForQuery(nil))
+		return
+	}
+	a.answerLong(value.Long, [][]byte{value.Head, value.Long.Bytes(), pg.AppendReadyForQuery(value.Tail)})
+}
 
 // Rejected implements request.Client.
 func (a *pendingAnswer) Rejected(retryAfter int64) {
--- a/internal/frontend/cancel.go
+++ b/internal/frontend/cancel.go
@@ -119,7 +119,7 @@
 	defer c.passMu.Unlock()
 	hasRead := c.processing.Swap(false)
 	c.readPasses.Add(1)
-	if hasRead && c.cancelPasses > 0 && c.in.Len() == c.longQueryBytes {
+	if hasRead && c.cancelPasses > 0 && c.in.Len() == 0 {
 		c.cancelPasses--
 	}
 }
--- a/internal/frontend/client.go
+++ b/internal/frontend/client.go
@@ -20,14 +20,14 @@
 // queries become requests as they arrive, without waiting for the answer to the query before. The answers are
 // written in the order of the queries, by the goroutine of whichever request is next.
 type client struct {
-	server         *Server
-	sock           net.Conn
-	in, out        *ring.Ring
-	key            pg.BackendKey // for cancel requests; zero before the startup
-	number         int64         // of the connection, in the order in which they were accepted, from 1
-	neededBytes    int           // size of the message at the front of in, as far as it is known
-	dropped        droppedMessage
-	longQueryBytes int // bytes of a long query, which stay in the buffer until its request ends
+	server          *Server
+	sock            net.Conn
+	in, out         *ring.Ring
+	key             pg.BackendKey // for cancel requests; zero before the startup
+	number          int64         // of the connection, in the order in which they were accepted, from 1
+	neededBytes     int           // size of the message at the front of in, as far as it is known
+	dropped         droppedMessage
+	startedRequests int // of this connection
 
 	mu      sync.Mutex
 	pending []*pendingAnswer // answers that have not been written, in the order of the queries
@@ -130,8 +130,7 @@
 				break
 			}
 			if inFlight == 0 {
-				c.in.Discard(c.longQueryBytes)
-				c.longQueryBytes, c.exclusive = 0, false
+				c.exclusive = false
 			}
 			if turn++; turn%messagesPerTurn == 0 {
 				runtime.Gosched()
@@ -185,7 +184,7 @@
 func (c *client) waitForAnswer(inFlight int32) { c.behindAnswers, c.blockedAt = true, inFlight }
 
 // isWaiting reports whether a query that has been read waits for an answer to one before it.
-func (c *client) isWaiting() bool { return c.behindAnswers && c.in.Len() > c.longQueryBytes }
+func (c *client) isWaiting() bool { return c.behindAnswers && c.in.Len() > 0 }
 
 // restartClock counts the time of the next query from now on, as time spent waiting for earlier ones does not count. The
 // client may have gone meanwhile.
@@ -205,6 +204,7 @@
 	c.gone = true
 	for _, answer := range c.pending {
 		c.server.budget.Release(answer.budgetBytes)
+		answer.long.Release() // its bytes may be being written
 		answer.releaseMemory()
 		if answer.parts == nil && answer.handle != nil {
 			answer.isAbandoned.Store(true)
@@ -276,21 +276,23 @@
 		c.in.Discard(size)
 		return true, err
 	}
-	long := isLong(size)
+	return c.handleQueryMessage(body, size)
+}
+
+// handleQueryMessage processes the message of a query, which has so many bytes, and reports whether to look for another.
+func (c *client) handleQueryMessage(body []byte, size int) (more bool, err error) {
 	inFlight := c.inFlight.Load()
-	if c.exclusive = long; long && inFlight > 0 {
+	if c.exclusive = isLong(size); c.exclusive && inFlight > 0 {
 		c.waitForAnswer(inFlight)
 		return false, nil
 	}
-	err = c.handleQuery(body)
+	if c.exclusive {
+		return true, c.handleLongQuery(size)
+	}
+	err = c.handleQuery(body, nil)
 	if err == errAwaitAnswer {
 		return false, nil
 	}
-	if inFlight = c.inFlight.Load(); long && inFlight > 0 {
-		c.longQueryBytes = size
-		c.waitForAnswer(inFlight)
-		return false, err
-	}
 	c.in.Discard(size)
 	return true, err
 }
--- a/internal/frontend/query.go
+++ b/internal/frontend/query.go
@@ -18,8 +18,20 @@
 // and router. A client's timeout runs from when it sends the query.
 const transitAllowance = int64(10 * time.Millisecond)
 
-// handleQuery starts a request for a query, or answers the query at once.
-func (c *client) handleQuery(body []byte) error {
+// handleLongQuery is handleQuery for the long query at the front of the buffer, whose message has so many bytes.
+func (c *client) handleLongQuery(size int) error {
+	long := c.in.Detach(size)
+	requests := c.startedRequests
+	err := c.handleQuery(pg.Body(long.Bytes()), long)
+	if c.startedRequests == requests {
+		long.Recycle()
+	}
+	return err
+}
+
+// handleQuery starts a request for a query, or answers the query at once. A long query lies in memory of its own, which the request
+// takes over.
+func (c *client) handleQuery(body []byte, long *ring.Memory) error {
 	if len(body) == 0 || body[len(body)-1] != 0 {
 		return c.sendFatal(pg.ProtocolViolation, "malformed query")
 	}
@@ -31,7 +43,11 @@
 	if tag := pg.SessionCommandTag(text); tag != "" {
 		return c.reply(pg.AppendCommandComplete(nil, tag))
 	}
-	statement, err := pg.ParseStatement(text)
+	parse := pg.ParseStatement
+	if long != nil {
+		parse = pg.ParseStatementInPlace
+	}
+	statement, err := parse(text)
 	if err != nil {
 		return c.replyError(pg.SyntaxError, err.Error())
 	}
@@ -53,7 +69,7 @@
 	if c.hasGone(startedAt) { // no attempt is sent for it
 		return io.EOF
 	}
-	return c.admitRequest(statement, req, requestMemory(len(body)))
+	return c.admitRequest(statement, req, long, requestMemory(len(body), long))
 }
 
 // noteQuery records that a query has come whole, and returns when its message began to arrive.
@@ -79,7 +95,7 @@
 
 // admitRequest starts a request if there is memory for it. Without, a client that has no request in hand is told when to
 // come back; another one's query waits until the client has got an answer, for which errAwaitAnswer is returned.
-func (c *client) admitRequest(statement *pg.Statement, req dispatch.Request, memory int64) error {
+func (c *client) admitRequest(statement *pg.Statement, req dispatch.Request, long *ring.Memory, memory int64) error {
 	inFlight := c.inFlight.Load()
 	switch {
 	case c.server.admit(memory, inFlight > 0):
@@ -93,7 +109,7 @@
 		c.server.releaseMemory(memory)
 		return c.replyError(pg.InvalidParameter, "a query with this id is open already, or may have run")
 	}
-	c.startRequest(statement, req, memory)
+	c.startRequest(statement, req, long, memory)
 	return nil
 }
 
@@ -128,10 +144,12 @@
 	}, ""
 }
 
-// startRequest starts the request of a statement whose id is claimed, and for which so much memory was taken.
-func (c *client) startRequest(statement *pg.Statement, req dispatch.Request, memory int64) {
+// startRequest starts the request of a statement whose id is claimed, and for which so much memory was taken. The memory of a long one
+// is the request's from now on.
+func (c *client) startRequest(statement *pg.Statement, req dispatch.Request, long *ring.Memory, memory int64) {
+	c.startedRequests++
 	req.Timeout = c.remainingTime(statement, req)
-	answer := &pendingAnswer{client: c, id: statement.ID, memoryBytes: memory}
+	answer := &pendingAnswer{client: c, id: statement.ID, query: long, memoryBytes: memory}
 	answer.repeatable = req.Policy.Settings.Classes[req.Class].RetrySafety == balance.Idempotent
 	answer.memoryUsers.Store(memoryUsers)
 	answer.handle = request.Start(c.server.dispatcher, req, answer,
--- a/internal/frontend/read.go
+++ b/internal/frontend/read.go
@@ -18,11 +18,10 @@
 	if busy {
 		c.evicted.Store(false) // decided before its message had come whole
 	}
-	if !busy && c.longQueryBytes > 0 || c.behindAnswers && inFlight != c.blockedAt {
-		return nil // a request has just ended: its long query is released, or the query behind it is handled first
+	if c.behindAnswers && inFlight != c.blockedAt {
+		return nil // a request has just ended: the query behind it is handled first
 	}
-	// Also set for a long query, whose buffer has to be released as its request ends.
-	c.inputWaiting.Store(c.in.Len() > c.longQueryBytes || c.longQueryBytes > ring.InitialSize)
+	c.inputWaiting.Store(c.in.Len() > 0)
 	if busy && c.in.FreeSpace() == 0 && !c.canReadAhead() { // further queries, and the end of the stream, wait in the socket
 		return c.awaitAnswer(inFlight)
 	}
@@ -89,10 +88,8 @@
 
 // canReadAhead makes room to read on while requests are in flight and the buffer is full, and reports whether there is
 // any. Reading on is the only way to see that a client has gone which has sent more than the system's buffers hold: the
-// end of its stream has not arrived yet. The buffer of a long query in flight is left as it is.
-func (c *client) canReadAhead() bool {
-	return c.longQueryBytes == 0 && c.in.TryExtend(maxReadAhead) == nil
-}
+// end of its stream has not arrived yet.
+func (c *client) canReadAhead() bool { return c.in.TryExtend(maxReadAhead) == nil }
 
 // handleReadDeadline handles a read without input that ended by a deadline: the given one, or one that was set
 // to wake the goroutine.
--- a/internal/frontend/timing_test.go
+++ b/internal/frontend/timing_test.go
@@ -35,9 +35,12 @@
 	d := dispatch.New(c, 1, nodes, zap.NewNop())
 	nodes.Dispatcher = d
 	d.UpdateList(1, true, []dispatch.ListedNode{{ID: "s-0", Address: node, Weight: 1, Group: 2, Primary: true}})
-	return New(l, d, nodes, Limits{Connections: 40, QueryingConnections: 20, Budget: ring.NewBudget(1 << 20)}, zap.NewNop())
+	return New(l, d, nodes, Limits{Connections: 40, QueryingConnections: 20, Budget: ring.NewBudget(testBudget)}, zap.NewNop())
 }
 
+// testBudget is the budget of large values of clients, in bytes.
+const testBudget = 1 << 20
+
 // connectAndQuery connects and writes a query right after the startup message.
 func connectAndQuery(t *testing.T, s *Server, query string) *standin.Client {
 	sock, err := net.Dial("tcp", s.Address())
--- a/internal/pg/answer.go
+++ b/internal/pg/answer.go
@@ -7,19 +7,21 @@
 	"strconv"
 
 	"sedgestream/balance"
+	"sedgestream/internal/ring"
 )
 
 // Answer collects what a node sends in answer to one query.
 type Answer struct {
 	Outcome balance.Outcome // valid once Ready is set or OutcomeKnown has returned true
 	Ready   bool            // ReadyForQuery has arrived, so the answer is complete
-	Value   []byte          // the messages that make up the value, as the node sent them
+	Value   ring.Payload    // the messages that make up the value, as the node sent them
 	Info    balance.AnswerInfo
 	Report  balance.Report
 
 	hasRowDescription, hasRow, isComplete bool
 	sqlState                              string
 	size                                  int
+	detached                              *ring.Memory // of the message that is being added, if it need not be copied
 }
 
 // columnSize is how many bytes follow the name of a column in a RowDescription.
@@ -84,6 +86,17 @@
 	return nil
 }
 
+// AddDetached is Add for a message, with its header, in memory of its own. The answer's value takes it over without a copy.
+func (a *Answer) AddDetached(kind byte, message *ring.Memory) error {
+	a.detached = message
+	err := a.Add(kind, Body(message.Bytes()))
+	if a.detached != nil { // not part of the value
+		message.Release()
+	}
+	a.detached = nil
+	return err
+}
+
 // HasBegun reports whether a message of the result has come, so more than what a node may send at any time.
 func (a *Answer) HasBegun() bool { return a.hasRowDescription || a.sqlState != "" }
 
@@ -103,9 +116,15 @@
 
 // appendValue adds a message to the value.
 func (a *Answer) appendValue(kind byte, body []byte) {
-	var start int
-	a.Value, start = beginMessage(a.Value, kind)
-	a.Value = endMessage(append(a.Value, body...), start)
+	if a.detached != nil && a.Value.Long == nil {
+		a.Value.Long, a.detached = a.detached, nil
+		return
+	}
+	var header [headerSize]byte
+	header[0] = kind
+	binary.BigEndian.PutUint32(header[1:], uint32(headerSize-1+len(body)))
+	a.Value.Append(header[:])
+	a.Value.Append(body)
 }
 
 // OutcomeKnown reports whether the node has sent the result of the query, if its connection ends before
@@ -177,12 +196,13 @@
 	return parseReport(text)
 }
 
-// RowText returns the value in the answer's row, or "" if there is none.
+// RowText returns the value in the answer's row, or "" if there is none or it is long.
 func (a *Answer) RowText() string {
-	for start := 0; start+5 <= len(a.Value); {
-		size := int(binary.BigEndian.Uint32(a.Value[start+1:]))
-		if a.Value[start] == 'D' {
-			return string(a.Value[start+11 : start+1+size])
+	messages := a.Value.Head
+	for start := 0; start+headerSize <= len(messages); {
+		size := int(binary.BigEndian.Uint32(messages[start+1:]))
+		if messages[start] == 'D' {
+			return string(messages[start+11 : start+1+size])
 		}
 		start += 1 + size
 	}
--- a/internal/pg/message.go
+++ b/internal/pg/message.go
@@ -49,6 +49,9 @@
 	return kind, r.Peek(size)[headerSize:], size, nil
 }
 
+// Body returns the body of a message.
+func Body(message []byte) []byte { return message[headerSize:] }
+
 // StartupKind is the kind of a startup packet.
 type StartupKind byte
 
--- a/internal/pg/pg_test.go
+++ b/internal/pg/pg_test.go
@@ -162,7 +162,7 @@
 		}
 	}
 	a, _ := answer(append(append(row("v"), status...), ready...))
-	if want := (balance.AnswerInfo{Role: balance.Replica, Position: 1767225600123e6}); a.Info != want || !bytes.Equal(a.Value, row("v")) {
+	if want := (balance.AnswerInfo{Role: balance.Replica, Position: 1767225600123e6}); a.Info != want || !bytes.Equal(a.Value.Head, row("v")) {
 		t.Errorf("%+v", a)
 	}
 	for name, stream := range map[string][]byte{
--- a/internal/pg/statement.go
+++ b/internal/pg/statement.go
@@ -44,6 +44,21 @@
 
 // ParseStatement parses the text of a query and keeps a copy of it, if it is valid.
 func ParseStatement(text []byte) (*Statement, error) {
+	s, err := ParseStatementInPlace(text)
+	if err != nil {
+		return nil, err
+	}
+	objectStart := len(selectPrefix)
+	if s.Write {
+		objectStart = len(insertPrefix)
+	}
+	s.text = bytes.Clone(s.text)
+	s.ObjectID = s.text[objectStart : objectStart+len(s.ObjectID)]
+	return s, nil
+}
+
+// ParseStatementInPlace is ParseStatement without a copy: the text must not change while the statement is in use.
+func ParseStatementInPlace(text []byte) (*Statement, error) {
 	text = bytes.TrimRight(text, " \t\r\n;")
 	comment := bytes.LastIndex(text, []byte("/*"))
 	if comment < 0 || !bytes.HasSuffix(text, []byte("*/")) || comment+4 > len(text) {
@@ -57,12 +72,7 @@
 	if !s.parseComment(comment+2, len(s.text)-2) {
 		return nil, errComment
 	}
-	s.text = bytes.Clone(text)
-	objectStart := len(selectPrefix)
-	if s.Write {
-		objectStart = len(insertPrefix)
-	}
-	s.ObjectID = s.text[objectStart : objectStart+len(object)]
+	s.ObjectID = object
 	return s, nil
 }
 
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -5,11 +5,12 @@
 import (
 	"sedgestream/balance"
 	"sedgestream/internal/dispatch"
+	"sedgestream/internal/ring"
 )
 
 // Client receives the answer to a request: exactly one of Succeeded, Rejected and Failed.
 type Client interface {
-	Succeeded(value []byte)
+	Succeeded(value ring.Payload)
 	Rejected(retryAfter int64) // retrying is harmless, after so many nanoseconds if above 0
 	Failed()                   // whether the request ran is not known
 	// Panicked reports that a callback of the request has panicked. A client that has no answer yet is to be
@@ -23,7 +24,7 @@
 	Took    int64 // nanoseconds
 	Info    balance.AnswerInfo
 	Report  balance.Report
-	Value   []byte // for the client, if Outcome is Succeeded
+	Value   ring.Payload // for the client, if Outcome is Succeeded
 }
 
 // Attempt is an outstanding attempt.
@@ -74,6 +75,8 @@
 				if handle.AttemptEnded(attempt, result.Outcome, result.Took, result.Info, result.Report) {
 					client.Succeeded(result.Value)
 					callbacks.Withdraw()
+				} else {
+					result.Value.Long.Recycle()
 				}
 			})
 		})
--- a/internal/request/request_test.go
+++ b/internal/request/request_test.go
@@ -10,16 +10,17 @@
 
 	"sedgestream/balance"
 	"sedgestream/internal/dispatch"
+	"sedgestream/internal/ring"
 	"sedgestream/internal/settings"
 )
 
 // recordingClient is a Client that records its answers.
 type recordingClient []string
 
-func (c *recordingClient) Succeeded([]byte) { *c = append(*c, "succeeded") }
-func (c *recordingClient) Rejected(int64)   { *c = append(*c, "rejected") }
-func (c *recordingClient) Failed()          { *c = append(*c, "failed") }
-func (c *recordingClient) Panicked(p any)   { *c = append(*c, fmt.Sprint("panicked: ", p)) }
+func (c *recordingClient) Succeeded(ring.Payload) { *c = append(*c, "succeeded") }
+func (c *recordingClient) Rejected(int64)         { *c = append(*c, "rejected") }
+func (c *recordingClient) Failed()                { *c = append(*c, "failed") }
+func (c *recordingClient) Panicked(p any)         { *c = append(*c, fmt.Sprint("panicked: ", p)) }
 
 // fakeSender counts attempts and passes each on to the test.
 type fakeSender struct {
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -296,9 +296,15 @@
 
 // resize moves the buffered bytes to a new buffer.
 func (r *Ring) resize(size int) {
-	larger := make([]byte, size)
-	r.copyTo(larger)
-	r.buf, r.start = larger, 0
+	larger := allocate(size)
+	r.replace(larger)
+}
+
+// replace moves the buffered bytes to another buffer.
+func (r *Ring) replace(buffer []byte) {
+	r.copyTo(buffer)
+	recycle(r.buf)
+	r.buf, r.start = buffer, 0
 }
 
 // copyTo copies the buffered bytes to the start of a slice.
@@ -313,9 +319,7 @@
 		n = r.length
 	}
 	if r.start+n > len(r.buf) {
-		linear := make([]byte, len(r.buf))
-		r.copyTo(linear)
-		r.buf, r.start = linear, 0
+		r.replace(allocate(len(r.buf)))
 	}
 	return r.buf[r.start : r.start+n]
 }
@@ -339,6 +343,7 @@
 // Release drops all bytes, frees the memory, and returns what the buffer has taken from the budget.
 func (r *Ring) Release() {
 	r.budget.release(r.budgetBytes)
+	recycle(r.buf)
 	r.buf, r.start, r.length, r.budgetBytes = nil, 0, 0, 0
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -237,8 +237,11 @@
 	c.current = nil
 	d.attach(nil, time.Time{})
 	result := request.Result{Outcome: outcome, Info: answer.Info, Report: answer.Report, Value: answer.Value}
-	if d.statement == nil && outcome == balance.Succeeded {
-		result.Report = answer.ProbeReport()
+	if d.statement == nil {
+		answer.Value.Long.Recycle()
+		if outcome == balance.Succeeded {
+			result.Report = answer.ProbeReport()
+		}
 	}
 	d.finish(result)
 }
@@ -267,6 +270,8 @@
 			err = c.readMore(size, d.deadline)
 		case !answer.HasBegun() && c.barrier.add(kind):
 			c.in.Discard(size)
+		case size > ring.InitialSize:
+			err = answer.AddDetached(kind, c.in.Detach(size))
 		default:
 			err = answer.Add(kind, body)
 			if c.in.Discard(size); answer.Ready && err == nil {
