soak: bad clients beside the usual ones, and drains end as the node is listed up again

Traced by the router's updates of the list: failover had listed the node as up, and the drain's notice lasted until its own return. Now a notice ends as the list is about to say up, whoever says it (TestEndDrains).

--- a/Makefile
+++ b/Makefile
@@ -75,7 +75,8 @@
 	go run ./internal/lab/knownred -plays $${COUNT:-50} -busy $${LOAD:-8} -parallel $${PARALLEL:-2} -seed $${SEED:-1} -logs "$${LOGS:-}" \
 		-only "$${ONLY:-}" KNOWN-RED.txt
 
-# Days of restarts and faults on real processes, a line each and a summary: SEED=1 COUNT=50 PARALLEL=6 make soak; LOGS=folder keeps the logs of days that broke.
+# Days of restarts and faults on real processes, a line each and a summary: SEED=1 COUNT=50 PARALLEL=6 make soak; LOGS=folder keeps the logs of days that broke,
+# BAD=true has bad clients beside the usual ones.
 soak:
 	go test -count=1 -v -timeout 3h -run 'TestSoak$$' ./cmd/sedgestream -soak.seed $${SEED:-1} -soak.count $${COUNT:-50} -soak.parallel $${PARALLEL:-6} \
-		-soak.logs "$${LOGS:-}"
+		-soak.logs "$${LOGS:-}" -soak.bad=$${BAD:-false}
--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -206,3 +206,45 @@
 		t.Errorf("%d kinds of events are drawn: %v", len(kinds), kinds)
 	}
 }
+
+// Bad clients are drawn by the seed, of every kind, and leave the rest of the scenario as it is.
+func TestAddBadClients(t *testing.T) {
+	kinds := map[BadClient]int{}
+	for seed := range uint64(100) {
+		scenario, second, without := NewScenario(seed), NewScenario(seed), NewScenario(seed)
+		scenario.AddBadClients()
+		second.AddBadClients()
+		if (&Outcome{Scenario: scenario}).Details() != (&Outcome{Scenario: second}).Details() {
+			t.Fatalf("seed %d draws two different scenarios", seed)
+		}
+		for _, group := range scenario.BadClients {
+			kinds[group.Kind]++
+			if group.Count < 1 || group.Count > maxBadClientsPerKind {
+				t.Errorf("seed %d has %d clients of kind %s", seed, group.Count, group.Kind)
+			}
+		}
+		scenario.BadClients = nil
+		if (&Outcome{Scenario: scenario}).Details() != (&Outcome{Scenario: without}).Details() {
+			t.Errorf("seed %d draws another scenario with bad clients", seed)
+		}
+	}
+	if len(kinds) != len(badClientKinds) {
+		t.Errorf("%d kinds of bad clients are drawn: %v", len(kinds), kinds)
+	}
+}
+
+// A node that is listed as up again by another event than its drain is drained no longer, and one whose drain is announced later is.
+func TestEndDrains(t *testing.T) {
+	rec := &recorder{}
+	first, second := time.Unix(100, 0), time.Unix(200, 0)
+	rec.record.DrainNotices = []DrainNotice{{Node: 0}, {Node: 1}}
+	rec.endDrains(0, first)
+	rec.record.DrainNotices = append(rec.record.DrainNotices, DrainNotice{Node: 0})
+	rec.endDrains(0, second)
+	want := []time.Time{first, {}, second}
+	for i, notice := range rec.record.DrainNotices {
+		if !notice.UpAgainAt.Equal(want[i]) {
+			t.Errorf("notice %d ends at %v, want %v", i, notice.UpAgainAt, want[i])
+		}
+	}
+}
--- a/internal/lab/soak/events.go
+++ b/internal/lab/soak/events.go
@@ -210,9 +210,7 @@
 		return
 	}
 	announced := s.setListState(node.index, "draining")
-	index := 0
 	s.recorder.withRecord(func(r *Record) {
-		index = len(r.DrainNotices)
 		r.DrainNotices = append(r.DrainNotices, DrainNotice{Node: node.index, AnnouncedAt: announced})
 	})
 	if node.isPrimary() {
@@ -234,7 +232,7 @@
 			r.ColdStarts = append(r.ColdStarts, ColdStart{node.index, back, back.Add(warmUpTime), allowance()})
 		})
 	}
-	s.recorder.withRecord(func(r *Record) { r.DrainNotices[index].UpAgainAt = back })
+	s.recorder.endDrains(node.index, back)
 	s.setListState(node.index, "up")
 }
 
@@ -259,6 +257,7 @@
 	} else {
 		former.Restart()
 		back := time.Now()
+		s.recorder.endDrains(former.index, back) // it may have been told to drain meanwhile
 		s.recorder.withRecord(func(r *Record) {
 			r.ColdStarts = append(r.ColdStarts, ColdStart{former.index, back, back.Add(warmUpTime), allowance()})
 		})
--- a/internal/lab/soak/record.go
+++ b/internal/lab/soak/record.go
@@ -136,6 +136,18 @@
 	change(&rec.record.Attempts[index])
 }
 
+// endDrains records that a node is about to be listed as up again, which ends all drains of it that have been announced.
+func (rec *recorder) endDrains(node int, at time.Time) {
+	rec.withRecord(func(r *Record) {
+		for i := range r.DrainNotices {
+			notice := &r.DrainNotices[i]
+			if notice.Node == node && notice.UpAgainAt.IsZero() {
+				notice.UpAgainAt = at
+			}
+		}
+	})
+}
+
 // withRecord calls change with the lock held.
 func (rec *recorder) withRecord(change func(*Record)) {
 	rec.mu.Lock()
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -66,6 +66,7 @@
 	s.recorder.withRecord(func(r *Record) { r.StartedAt = s.startedAt })
 	var clients sync.WaitGroup
 	s.startClients(&clients)
+	s.startBadClients()
 	s.tasks.Go(s.recordUsage)
 	for _, event := range scenario.Events {
 		time.Sleep(time.Until(s.startedAt.Add(event.At)))
@@ -99,15 +100,20 @@
 func (s *scenarioRun) startClients(clients *sync.WaitGroup) {
 	for _, r := range s.routers {
 		for i := range s.scenario.ClientsPerRouter {
-			client := &simulatedClient{scenario: s.scenario, store: s.store, router: r, recorder: s.recorder, stop: s.stop,
-				session: fmt.Sprintf("%08x%08x", r.index+1, i+1),
-				random:  rand.New(rand.NewPCG(s.scenario.Seed, uint64(r.index*1000+i)))}
+			client := s.newClient(r, i)
 			clients.Add(1)
 			go client.runUntilStopped(clients)
 		}
 	}
 }
 
+// newClient returns a client of a router, which has a number of its own there.
+func (s *scenarioRun) newClient(r *router, number int) *simulatedClient {
+	return &simulatedClient{scenario: s.scenario, store: s.store, router: r, recorder: s.recorder, stop: s.stop,
+		session: fmt.Sprintf("%08x%08x", r.index+1, number+1),
+		random:  rand.New(rand.NewPCG(s.scenario.Seed, uint64(r.index*1000+number)))}
+}
+
 // recordHarnessDelays records when the harness itself was delayed.
 func (s *scenarioRun) recordHarnessDelays() {
 	last := time.Now()
--- a/internal/lab/soak/scenario.go
+++ b/internal/lab/soak/scenario.go
@@ -65,8 +65,9 @@
 	RouterSessions   bool          `json:"Remembered"` // routers, and not clients, track what sessions wrote
 	PollDiscovery    bool          `json:"Ask"`        // routers poll discovery, which pushes nothing
 	ReplicationLag   time.Duration `json:"Lag"`
-	AbandonShare     float64       `json:"Leaves"`    // share of the requests that their clients close, cancel, or stall
-	PipelineShare    float64       `json:"Pipelines"` // share of the connections on which clients pipeline queries
+	AbandonShare     float64       `json:"Leaves"`     // share of the requests that their clients close, cancel, or stall
+	PipelineShare    float64       `json:"Pipelines"`  // share of the connections on which clients pipeline queries
+	BadClients       []BadClients  `json:",omitempty"` // beside those that are judged
 	Events           []Event
 }
 
