Test: a router that is reloaded during its start serves before it knows the roles

While no role is known either node may serve such a read.

Change: each read has to be served by a node, and reads come from the replica once its role is known, within the time that tests wait. The router has to survive, serve and reload as before.

--- a/cmd/sedgestream/deploy_test.go
+++ b/cmd/sedgestream/deploy_test.go
@@ -78,8 +78,15 @@
 	}
 	client := router.Open("")
 	client.Expect("empty")
-	client.SendStatement(standin.ReadQuery(2000))
-	client.Expect("from copy")
+	// While no role is known, a read that any data will do for may go to either node.
+	standin.WaitFor(t, "a read from the replica", func() bool {
+		client.SendStatement(standin.ReadQuery(2000))
+		answer := client.Answer()
+		if answer != "from copy" && answer != "from source" {
+			t.Fatalf("answered %q", answer)
+		}
+		return answer == "from copy"
+	})
 	before := strings.Count(router.Log(), `"msg":"reloading"`)
 	router.Cmd.Process.Signal(syscall.SIGHUP)
 	standin.WaitFor(t, "a reload", func() bool { return strings.Count(router.Log(), `"msg":"reloading"`) > before })
