--- a/internal/lab/soak/badclients.go
+++ b/internal/lab/soak/badclients.go
@@ -33,14 +33,16 @@
 // Bounds of bad clients.
 const (
 	maxBadClientKinds    = 4
-	maxBadClientsPerKind = 40 // of all routers together
+	maxBadClientsPerKind = 40  // of all routers together
 	firstBadClient       = 100 // its number among the clients of its router
 	longValueBytes       = 32 << 10
 	badClientRandom      = 51 // the stream of random numbers, so that the rest of a scenario is as without bad clients
 )
 
 // sendsAtFullSpeed reports whether one client of a kind takes all the processor time that a router gives it.
-func (k BadClient) sendsAtFullSpeed() bool { return k == Unsound || k == NewNames || k == ReadsNoAnswers }
+func (k BadClient) sendsAtFullSpeed() bool {
+	return k == Unsound || k == NewNames || k == ReadsNoAnswers
+}
 
 // BadClients is a number of bad clients of one kind, spread over the routers.
 type BadClients struct {
